--- /dev/null
+++ b/src/coordination/config.rs
@@ -0,0 +1,110 @@
+//! What a controller is told at its start, checked and in domain terms.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use crate::storage::*;
+
+/// A class's aim, as far as decisions use it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    pub class: Option<ClassName>,
+    pub within: Option<Duration>,
+}
+
+/// The policy's open values. `docs/OPERATING.md` describes each.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    pub alpha: f64,
+    pub beta: f64,
+    pub round: Duration,
+    pub start_target: Duration,
+    pub window: Duration,
+    pub miss_weight: f64,
+    pub demand_threshold: f64,
+    pub utilisation_threshold: f64,
+    pub suitability_k: f64,
+    pub remedial_theta: f64,
+    pub evenness_threshold: f64,
+    pub paid_period: Duration,
+    pub node_lease: Duration,
+    pub offer: Duration,
+    pub silent: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            alpha: 0.05,
+            beta: 0.1,
+            round: Duration::from_secs(10),
+            start_target: Duration::from_secs(30),
+            window: Duration::from_secs(60),
+            miss_weight: 0.3,
+            demand_threshold: 0.05,
+            utilisation_threshold: 0.5,
+            suitability_k: 0.3,
+            remedial_theta: 10.0,
+            evenness_threshold: 0.4,
+            paid_period: Duration::from_secs(60),
+            node_lease: Duration::from_secs(4),
+            offer: Duration::from_secs(2),
+            silent: Duration::from_secs(8),
+        }
+    }
+}
+
+#[derive(Clone)]
+pub struct Config {
+    pub node: NodeName,
+    pub zone: ZoneName,
+    pub incarnation: Incarnation,
+    /// The other controllers with their zones.
+    pub peers: Vec<(NodeName, ZoneName)>,
+    pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
+    pub worker_report: Duration,
+    pub worker_lease: Duration,
+    pub cancel: Duration,
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag: Duration,
+    pub max_connections: usize,
+    pub tuning: Tuning,
+    /// The time of day; tests put their own.
+    pub wall: Arc<dyn Fn() -> SystemTime + Send + Sync>,
+}
+
+/// Kept back from `cancel` for clock drift, timers and the way of an answer.
+const CANCEL_MARGIN: Duration = Duration::from_secs(3);
+
+impl Config {
+    pub fn team(&self, name: &TeamName) -> Option<&Team> {
+        self.teams.iter().find(|team| team.name == *name)
+    }
+
+    pub fn now_ms(&self) -> u64 {
+        (self.wall)()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis() as u64)
+    }
+
+    /// How long a node that hears of no cancellations may go on answering
+    /// reports. A worker's lease runs from a report that was sent before our
+    /// answer, so it ends at most `worker_lease` after the last answer:
+    /// `entitled + worker_lease` stays within `cancel` by the margin, which
+    /// covers 0.05% drift of both clocks (under 0.1 s here) many times.
+    pub fn entitled(&self) -> Duration {
+        self.cancel
+            .saturating_sub(self.worker_lease)
+            .saturating_sub(CANCEL_MARGIN)
+    }
+
+    pub fn nodes(&self) -> usize {
+        self.peers.len() + 1
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/routing.rs
@@ -0,0 +1,357 @@
+//! Which holder gets which waiting tasks: a trial placement over all blocks,
+//! by the same rule that the holders use.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, SystemTime},
+};
+
+use tokio::time::Instant;
+
+use super::super::{
+    holder::{zone_admits, zone_counts},
+    policy::{giveback, placement},
+    ports::Offer,
+};
+use crate::storage::{book::Job, records::MachineUse, *};
+
+/// A machine that tasks can be routed to.
+#[derive(Clone, Debug)]
+pub struct Open {
+    pub slot: placement::Slot,
+    pub node: NodeName,
+}
+
+/// Tasks that found no room.
+#[derive(Clone, Debug)]
+pub struct Unplaced {
+    pub job: JobId,
+    pub tasks: u32,
+    /// They wait longer than the start target, or will miss their deadline.
+    pub overdue: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Routed {
+    pub offers: BTreeMap<NodeName, Vec<Offer>>,
+    pub unplaced: Vec<Unplaced>,
+    pub short: BTreeMap<(NodeName, TeamName), Quota>,
+    /// Tasks of lower standing to stop for those of higher standing.
+    pub preempt: BTreeMap<NodeName, Vec<TaskId>>,
+}
+
+/// Tasks under way to a holder.
+pub type Offered = HashMap<JobId, HashMap<u32, (NodeName, Instant)>>;
+
+/// Tasks looked at in one pass.
+const TASKS_PER_PASS: usize = 600;
+
+pub struct Routing<'a> {
+    pub book: &'a Book,
+    pub teams: &'a [Team],
+    pub open: Vec<Open>,
+    pub offered: &'a mut Offered,
+    pub failing: &'a HashMap<JobId, Instant>,
+    pub start_target: Duration,
+    pub offer_life: Duration,
+    pub now: Instant,
+    pub wall: SystemTime,
+    pub factor: &'a dyn Fn(&ClassName) -> f64,
+}
+
+/// How soon a job is to be served, the soonest first.
+type Rank = (std::cmp::Reverse<Priority>, bool, u64);
+
+struct Candidate<'a> {
+    id: &'a JobId,
+    spec: &'a JobSpec,
+    job: &'a Job,
+    rank: Rank,
+}
+
+impl Routing<'_> {
+    pub fn run(mut self) -> Routed {
+        let mut routed = Routed::default();
+        let mut used = self.book.quota_used(self.book.on_machine.keys());
+        let mut by_node: HashMap<(NodeName, TeamName), Quota> = HashMap::new();
+        for (node, kept) in &self.book.blocks {
+            for (team, quota) in self.book.quota_used(kept.value.machines.keys()) {
+                by_node.insert((node.clone(), team), quota);
+            }
+        }
+        self.settle_offers(&mut used, &mut by_node);
+        let book = self.book;
+        let candidates = self.candidates(book, &used);
+        let mut looked_at = 0;
+        for candidate in candidates {
+            if looked_at > TASKS_PER_PASS {
+                break;
+            }
+            looked_at += self.route_job(&candidate, &mut used, &mut by_node, &mut routed);
+        }
+        routed
+    }
+
+    /// Offers that were taken up, or not in time, are forgotten; the room and
+    /// quota of the others is set aside.
+    fn settle_offers(
+        &mut self,
+        used: &mut BTreeMap<TeamName, Quota>,
+        by_node: &mut HashMap<(NodeName, TeamName), Quota>,
+    ) {
+        let (book, now, life) = (self.book, self.now, self.offer_life);
+        self.offered.retain(|id, tasks| {
+            let Some(job) = book.jobs.get(id) else {
+                return false;
+            };
+            tasks.retain(|task, (_, at)| {
+                now.duration_since(*at) < life
+                    && job.placement(*task).is_none()
+                    && !job.is_task_done(*task)
+            });
+            !tasks.is_empty()
+        });
+        for (id, tasks) in self.offered.iter() {
+            let Some(spec) = book.jobs.get(id).and_then(Job::spec) else {
+                continue;
+            };
+            for (node, _) in tasks.values() {
+                let quota = Quota::of(&spec.per_task);
+                let entry = used.entry(spec.team.clone()).or_default();
+                *entry = entry.plus(&quota);
+                let entry = by_node
+                    .entry((node.clone(), spec.team.clone()))
+                    .or_default();
+                *entry = entry.plus(&quota);
+                // Which machine the holder takes is its own choice; the trial
+                // takes the likeliest.
+                let slots: Vec<placement::Slot> =
+                    self.open.iter().map(|open| open.slot.clone()).collect();
+                let open = &self.open;
+                let factor = (self.factor)(&spec.class);
+                let at = placement::choose(spec, &slots, factor, |slot| {
+                    open.iter()
+                        .any(|o| o.slot.machine == slot.machine && o.node == *node)
+                });
+                if let Some(open) = at.and_then(|at| self.open.get_mut(at)) {
+                    open.slot.room -= spec.per_task;
+                }
+            }
+        }
+    }
+
+    fn candidates<'b>(
+        &self,
+        book: &'b Book,
+        used: &BTreeMap<TeamName, Quota>,
+    ) -> Vec<Candidate<'b>> {
+        let mut candidates: Vec<Candidate<'b>> = book
+            .jobs
+            .iter()
+            .filter(|(id, job)| {
+                job.waiting() > 0 && self.failing.get(*id).is_none_or(|until| *until <= self.now)
+            })
+            .filter_map(|(id, job)| {
+                let spec = job.spec()?;
+                let borrows = self
+                    .teams
+                    .iter()
+                    .find(|team| team.name == spec.team)
+                    .is_some_and(|team| {
+                        let used = used.get(&team.name).copied().unwrap_or_default();
+                        !team
+                            .guaranteed
+                            .covers(&used.plus(&Quota::of(&spec.per_task)))
+                    });
+                let due = spec.accepted_ms + spec.deadline.map_or(0, |d| d.as_millis() as u64);
+                Some(Candidate {
+                    id,
+                    spec,
+                    job,
+                    rank: (std::cmp::Reverse(spec.priority), borrows, due),
+                })
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.id.cmp(b.id)));
+        candidates
+    }
+
+    /// Routes what it can of one job; returns how many tasks were looked at.
+    fn route_job(
+        &mut self,
+        candidate: &Candidate<'_>,
+        used: &mut BTreeMap<TeamName, Quota>,
+        by_node: &mut HashMap<(NodeName, TeamName), Quota>,
+        routed: &mut Routed,
+    ) -> usize {
+        let Candidate { id, spec, job, .. } = candidate;
+        let quota = Quota::of(&spec.per_task);
+        let limit = self
+            .teams
+            .iter()
+            .find(|team| team.name == spec.team)
+            .map(|team| team.limit)
+            .unwrap_or_default();
+        let waiting = job.waiting_tasks(TASKS_PER_PASS);
+        let factor = (self.factor)(&spec.class);
+        let mut zones = zone_counts(self.book, job);
+        let mut unplaced = 0;
+        let mut looked_at = 0;
+        let mut full = false;
+        let mut slots: Vec<placement::Slot> =
+            self.open.iter().map(|open| open.slot.clone()).collect();
+        for task in waiting {
+            if self
+                .offered
+                .get(*id)
+                .is_some_and(|tasks| tasks.contains_key(&task))
+            {
+                continue;
+            }
+            looked_at += 1;
+            let total = used.entry(spec.team.clone()).or_default();
+            let after = total.plus(&quota);
+            if !limit.covers(&after) {
+                // More machines would not help these.
+                break;
+            }
+            if full {
+                *total = after;
+                unplaced += 1;
+                continue;
+            }
+            let (book, open) = (self.book, &self.open);
+            let node_of = |slot: &placement::Slot| {
+                open.iter()
+                    .find(|o| o.slot.machine == slot.machine)
+                    .map(|o| &o.node)
+            };
+            let fits_budget = |node: &NodeName| {
+                let budget = book
+                    .blocks
+                    .get(node)
+                    .and_then(|kept| kept.value.budgets.get(&spec.team))
+                    .copied()
+                    .unwrap_or_default();
+                let used = by_node
+                    .get(&(node.clone(), spec.team.clone()))
+                    .copied()
+                    .unwrap_or_default();
+                budget.covers(&used.plus(&quota))
+            };
+            let within = placement::choose(spec, &slots, factor, |slot| {
+                zone_admits(spec, &zones, &slot.zone) && node_of(slot).is_some_and(&fits_budget)
+            });
+            let Some(at) = within else {
+                let anywhere = placement::choose(spec, &slots, factor, |slot| {
+                    zone_admits(spec, &zones, &slot.zone)
+                });
+                *total = after;
+                match anywhere.and_then(|at| node_of(&slots[at])) {
+                    // There is room, but the quota lies with another block.
+                    Some(node) => {
+                        let key = (node.clone(), spec.team.clone());
+                        let short = routed.short.entry(key).or_default();
+                        *short = short.plus(&quota);
+                    }
+                    None => {
+                        full = true;
+                        unplaced += 1;
+                    }
+                }
+                continue;
+            };
+            let Some(node) = node_of(&slots[at]).cloned() else {
+                continue;
+            };
+            *total = after;
+            let entry = by_node
+                .entry((node.clone(), spec.team.clone()))
+                .or_default();
+            *entry = entry.plus(&quota);
+            *zones.entry(slots[at].zone.clone()).or_default() += 1;
+            slots[at].room -= spec.per_task;
+            if !slots[at].images.contains(&spec.image) {
+                slots[at].images.push(spec.image.clone());
+            }
+            self.open[at].slot = slots[at].clone();
+            self.offered
+                .entry((*id).clone())
+                .or_default()
+                .insert(task, (node.clone(), self.now));
+            let offers = routed.offers.entry(node).or_default();
+            match offers.iter_mut().find(|offer| offer.job == **id) {
+                Some(offer) => offer.tasks.push(task),
+                None => offers.push(Offer {
+                    job: (*id).clone(),
+                    tasks: vec![task],
+                }),
+            }
+        }
+        if unplaced > 0 {
+            let age = spec.age(self.wall);
+            let overdue = match spec.deadline {
+                Some(deadline) => age + spec.estimate > deadline,
+                None => age > self.start_target,
+            };
+            routed.unplaced.push(Unplaced {
+                job: (*id).clone(),
+                tasks: unplaced,
+                overdue,
+            });
+        }
+        looked_at
+    }
+}
+
+/// A holder's machine that takes tasks: its cached images and learned speed.
+pub type Usable<'a> = &'a dyn Fn(&NodeName, &MachineId) -> Option<(Vec<ImageName>, f64)>;
+
+/// The machines that the leader may route tasks to.
+pub fn open_machines(
+    book: &Book,
+    usable: Usable<'_>,
+    now_ms: u64,
+    paid_period: Duration,
+) -> Vec<Open> {
+    let mut open = Vec::new();
+    for (node, kept) in &book.blocks {
+        if kept.value.holder.is_none() {
+            continue;
+        }
+        for (id, usage) in &kept.value.machines {
+            let Some(record) = book.machines.get(id).map(|kept| &kept.value) else {
+                continue;
+            };
+            let Some(kind) = book.machine_type(&record.kind) else {
+                continue;
+            };
+            if *usage == MachineUse::Frozen || record.address.is_none() {
+                continue;
+            }
+            let Some((images, speed)) = usable(node, id) else {
+                continue;
+            };
+            let mut room = kind.size;
+            room -= book.taken(id);
+            let age = Duration::from_millis(now_ms.saturating_sub(record.rented_ms));
+            open.push(Open {
+                node: node.clone(),
+                slot: placement::Slot {
+                    machine: id.clone(),
+                    kind: record.kind.clone(),
+                    zone: record.zone.clone(),
+                    spot: record.spot,
+                    room,
+                    size: kind.size,
+                    fetch_gb_per_s: kind.fetch_gb_per_s,
+                    speed,
+                    images,
+                    leaves_in: (*usage == MachineUse::Marked)
+                        .then(|| giveback::paid_left(age, paid_period)),
+                },
+            });
+        }
+    }
+    open
+}
--- /dev/null
+++ b/src/coordination/leader/stats.rs
@@ -0,0 +1,176 @@
+//! The recent share of tasks that missed their deadline or start target, and
+//! the arrival rate: what the band is judged by (paper, section 5.3).
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, SystemTime},
+};
+
+use tokio::time::Instant;
+
+use crate::storage::*;
+
+/// Machines of one type and kind; the policy's "type".
+pub type Pool = (TypeName, bool);
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Progress {
+    started: u32,
+    done: u32,
+}
+
+#[derive(Debug)]
+struct Judged {
+    at: Instant,
+    pool: Option<Pool>,
+    count: u32,
+    missed: bool,
+}
+
+/// Entries in a window; older ones go first.
+const ENTRIES: usize = 4_096;
+
+#[derive(Debug, Default)]
+pub struct Stats {
+    progress: HashMap<JobId, Progress>,
+    judged: VecDeque<Judged>,
+    arrivals: VecDeque<(Instant, u32)>,
+    primed: bool,
+}
+
+pub struct Misses {
+    pub rate: f64,
+    /// Each pool's share of the misses.
+    pub shares: HashMap<Pool, f64>,
+}
+
+impl Stats {
+    /// Takes note of what has happened since the last call. `suited` names the
+    /// pool that suits a job.
+    pub fn observe(
+        &mut self,
+        book: &Book,
+        now: Instant,
+        wall: SystemTime,
+        start_target: Duration,
+        window: Duration,
+        suited: impl Fn(&JobSpec) -> Option<Pool>,
+    ) {
+        let mut judged = Vec::new();
+        let mut progress = HashMap::with_capacity(book.jobs.len());
+        for (id, job) in &book.jobs {
+            let Some(spec) = job.spec() else { continue };
+            let seen = Progress {
+                started: job.placed + job.done,
+                done: job.done,
+            };
+            let before = self.progress.get(id).copied();
+            if before.is_none() && self.primed {
+                self.arrivals.push_back((now, spec.tasks));
+            }
+            let before = before.unwrap_or(if self.primed {
+                Progress::default()
+            } else {
+                // Found at our start; who knows when it happened.
+                seen
+            });
+            let age = spec.age(wall);
+            let (count, missed) = match spec.deadline {
+                Some(deadline) => (seen.done.saturating_sub(before.done), age > deadline),
+                None => (
+                    seen.started.saturating_sub(before.started),
+                    age > start_target,
+                ),
+            };
+            if count > 0 {
+                judged.push(Judged {
+                    at: now,
+                    pool: suited(spec),
+                    count,
+                    missed,
+                });
+            }
+            progress.insert(
+                id.clone(),
+                Progress {
+                    // A task that is started anew is not counted again.
+                    started: seen.started.max(before.started),
+                    done: seen.done,
+                },
+            );
+        }
+        self.progress = progress;
+        self.primed = true;
+        self.judged.extend(judged);
+        while self.judged.len() > ENTRIES
+            || self.judged.front().is_some_and(|j| now - j.at > window)
+        {
+            self.judged.pop_front();
+        }
+        while self.arrivals.len() > ENTRIES
+            || self
+                .arrivals
+                .front()
+                .is_some_and(|(at, _)| now - *at > window)
+        {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Tasks per minute.
+    pub fn arrival_rate(&self, window: Duration) -> f64 {
+        let sum: u32 = self.arrivals.iter().map(|(_, tasks)| tasks).sum();
+        f64::from(sum) * 60.0 / window.as_secs_f64().max(1.0)
+    }
+
+    /// The miss rate, with tasks that wait beyond their target counted as
+    /// missed already.
+    pub fn misses(&self, overdue: &[(Option<Pool>, u32)]) -> Misses {
+        let mut all = 0;
+        let mut missed = 0;
+        let mut shares: HashMap<Pool, f64> = HashMap::new();
+        let recent = self.judged.iter().map(|j| (&j.pool, j.count, j.missed));
+        let waiting = overdue.iter().map(|(pool, count)| (pool, *count, true));
+        for (pool, count, miss) in recent.chain(waiting) {
+            all += count;
+            if miss {
+                missed += count;
+                if let Some(pool) = pool {
+                    *shares.entry(pool.clone()).or_default() += f64::from(count);
+                }
+            }
+        }
+        if missed > 0 {
+            for share in shares.values_mut() {
+                *share /= f64::from(missed);
+            }
+        }
+        Misses {
+            rate: f64::from(missed) / f64::from(all.max(1)),
+            shares,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn overdue_tasks_count_as_missed() {
+        let pool = (TypeName::new("t"), false);
+        let stats = Stats {
+            judged: VecDeque::from([Judged {
+                at: Instant::now(),
+                pool: Some(pool.clone()),
+                count: 9,
+                missed: false,
+            }]),
+            ..Stats::default()
+        };
+        assert_eq!(stats.misses(&[]).rate, 0.0);
+        let misses = stats.misses(&[(Some(pool.clone()), 1)]);
+        assert!((misses.rate - 0.1).abs() < 1e-9);
+        assert_eq!(misses.shares[&pool], 1.0);
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,18 @@
+//! Who may do what, and what is done: leadership, blocks, fencing, recovery,
+//! and the policy as pure functions.
+
+pub mod config;
+pub mod holder;
+pub mod leader;
+pub mod learning;
+pub mod node;
+pub mod peers;
+pub mod policy;
+pub mod ports;
+pub mod reports;
+pub mod session;
+pub mod users;
+pub mod view;
+
+pub use config::{Config, Tuning};
+pub use node::Node;
--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,155 @@
+//! One controller: its state, and the duties that run for as long as it lives.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use tokio::{sync::Notify, task::JoinSet, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    config::Config, holder::HolderState, leader::LeaderState, learning::Learning, ports::*,
+};
+use crate::storage::*;
+
+/// What is known of the other controllers by talking to them.
+#[derive(Default)]
+pub struct Links {
+    /// Their latest status, with the time at which we asked for it.
+    pub heard: HashMap<NodeName, (Instant, Status)>,
+    /// The start of the latest round in which every peer said that it knows of
+    /// nothing newer than we do.
+    pub nothing_newer: Option<Instant>,
+}
+
+pub struct Node {
+    pub config: Config,
+    pub store: Store,
+    pub workers: Box<dyn WorkerPort>,
+    pub cloud: Box<dyn CloudPort>,
+    pub peers: Box<dyn PeerPort>,
+    pub(super) holder: Mutex<HolderState>,
+    pub(super) leader: Mutex<LeaderState>,
+    pub(super) links: Mutex<Links>,
+    pub(super) sightings: Mutex<HashMap<MachineId, (Instant, Sighting)>>,
+    pub(super) learning: Mutex<Learning>,
+    pub(super) holder_kick: Notify,
+    pub(super) leader_kick: Notify,
+    pub(super) stop: CancellationToken,
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A poisoned lock means a duty has panicked, which ends the process anyway.
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Node {
+    pub fn new(
+        config: Config,
+        state: Box<dyn StatePort>,
+        workers: Box<dyn WorkerPort>,
+        cloud: Box<dyn CloudPort>,
+        peers: Box<dyn PeerPort>,
+        stop: CancellationToken,
+    ) -> Arc<Self> {
+        let store = Store::new(state, config.state_rps, config.state_write_rps);
+        Arc::new(Self {
+            store,
+            workers,
+            cloud,
+            peers,
+            holder: Mutex::default(),
+            leader: Mutex::default(),
+            links: Mutex::default(),
+            sightings: Mutex::default(),
+            learning: Mutex::default(),
+            holder_kick: Notify::new(),
+            leader_kick: Notify::new(),
+            stop,
+            config,
+        })
+    }
+
+    /// Starts the long-lived duties. None of them ends by itself before the
+    /// node is told to stop; the caller ends the process if one does.
+    pub fn start(self: &Arc<Self>, duties: &mut JoinSet<&'static str>) {
+        macro_rules! duty {
+            ($name:literal, $call:expr) => {{
+                let node = self.clone();
+                duties.spawn(async move {
+                    let run: fn(Arc<Node>) -> _ = $call;
+                    run(node).await;
+                    $name
+                });
+            }};
+        }
+        duty!("follow the state service", |node| async move {
+            node.store.follow(node.stop.clone()).await
+        });
+        duty!("fresh reads", |node| async move {
+            node.store.serve_fresh(node.stop.clone()).await
+        });
+        duty!("session", |node| async move { node.keep_session().await });
+        duty!("holder", |node| async move { node.hold().await });
+        duty!("leader", |node| async move { node.lead().await });
+        duty!("fleet", |node| async move { node.keep_fleet().await });
+        duty!("peers", |node| async move { node.talk_to_peers().await });
+        duty!("probes", |node| async move { node.probe_silent().await });
+    }
+
+    /// Sleeps, or returns false as soon as the node is to stop.
+    pub(super) async fn pause(&self, time: Duration) -> bool {
+        tokio::select! {
+            _ = self.stop.cancelled() => false,
+            _ = tokio::time::sleep(time) => true,
+        }
+    }
+
+    pub(super) fn is_leader(&self) -> Option<Revision> {
+        let book = self.store.book();
+        book.leader
+            .as_ref()
+            .filter(|leader| {
+                leader.value.node == self.config.node
+                    && leader.value.incarnation == self.config.incarnation
+            })
+            .map(|leader| leader.mark)
+    }
+
+    /// This node's block, if this process holds it.
+    pub(super) fn own_block<'a>(
+        &self,
+        book: &'a Book,
+    ) -> Option<&'a crate::storage::book::Kept<crate::storage::records::BlockRecord>> {
+        book.blocks
+            .get(&self.config.node)
+            .filter(|block| block.value.holder == Some(self.config.incarnation))
+    }
+
+    /// Whether reports may be answered with 200, which renews leases: only
+    /// while no cancellation can be older than `Config::entitled` unknown to us.
+    pub fn is_entitled(&self) -> bool {
+        let by_peers = lock(&self.links).nothing_newer;
+        self.store
+            .confirmed()
+            .max(by_peers)
+            .is_some_and(|at| at.elapsed() < self.config.entitled())
+    }
+
+    /// Whether users should be sent here. A node that alone has lost the state
+    /// service leaves the rotation; when all have, they stay, since readmission
+    /// is slow and nobody else could serve either.
+    pub fn is_ready(&self) -> bool {
+        if self.store.is_loaded() && self.store.is_reachable() {
+            return true;
+        }
+        let links = lock(&self.links);
+        let others_serve = links
+            .heard
+            .values()
+            .any(|(at, status)| at.elapsed() < Duration::from_secs(3) && status.state_reachable);
+        self.store.is_loaded() && !others_serve
+    }
+}
--- /dev/null
+++ b/src/coordination/policy/band.rs
@@ -0,0 +1,93 @@
+//! The miss-rate band and periodic renting (section 5.3.1, algorithm 1,
+//! equation 6).
+
+/// What one machine type looks like in a round.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TypeLoad {
+    /// Share of all recent misses that tasks suited to this type had (σ).
+    pub miss_share: f64,
+    /// Share of the waiting tasks that suit this type (φ).
+    pub queue_share: f64,
+    /// Utilisation of its least-used machine (ρ); none: no machine of the type.
+    pub least_utilisation: Option<f64>,
+    /// Machines that its waiting tasks would fill, less those booting (ours).
+    pub need: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Thresholds {
+    pub beta: f64,
+    pub miss_weight: f64,
+    pub demand: f64,
+    pub utilisation: f64,
+}
+
+/// ω = k·σ + (1 - k)·φ.
+pub fn demand(load: &TypeLoad, miss_weight: f64) -> f64 {
+    miss_weight * load.miss_share + (1.0 - miss_weight) * load.queue_share
+}
+
+/// How many machines of each type to rent, given the miss rate and the arrival
+/// rate of tasks per minute.
+pub fn rent(miss_rate: f64, arrivals: f64, loads: &[TypeLoad], at: &Thresholds) -> Vec<u32> {
+    loads
+        .iter()
+        .map(|load| {
+            let demand = demand(load, at.miss_weight);
+            let busy = load
+                .least_utilisation
+                .is_none_or(|least| least >= at.utilisation);
+            if miss_rate < at.beta || demand < at.demand || !busy {
+                return 0;
+            }
+            let wanted = (arrivals * demand / at.beta).floor().max(0.0);
+            (wanted as u32).min(load.need)
+        })
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const AT: Thresholds = Thresholds {
+        beta: 0.1,
+        miss_weight: 0.3,
+        demand: 0.05,
+        utilisation: 0.5,
+    };
+
+    fn load(miss: f64, queue: f64, least: Option<f64>, need: u32) -> TypeLoad {
+        TypeLoad {
+            miss_share: miss,
+            queue_share: queue,
+            least_utilisation: least,
+            need,
+        }
+    }
+
+    #[test]
+    fn demand_weighs_the_queue_above_the_past() {
+        // 0.3·0.5 + 0.7·0.2 = 0.29
+        assert!((demand(&load(0.5, 0.2, None, 9), 0.3) - 0.29).abs() < 1e-9);
+    }
+
+    #[test]
+    fn arrivals_times_demand_over_beta_rounded_down() {
+        // 1.3·0.29/0.1 = 3.77
+        let loads = [load(0.5, 0.2, Some(0.9), 9)];
+        assert_eq!(rent(0.1, 1.3, &loads, &AT), vec![3]);
+        assert_eq!(rent(0.0999, 1.3, &loads, &AT), vec![0]);
+    }
+
+    #[test]
+    fn capped_at_the_need_and_gated_by_utilisation() {
+        let loads = [
+            load(0.5, 0.2, Some(0.9), 2),
+            load(0.5, 0.2, Some(0.4), 9),
+            load(0.5, 0.2, None, 9),
+            load(0.1, 0.02, None, 9),
+        ];
+        assert_eq!(rent(0.5, 1.3, &loads, &AT), vec![2, 0, 3, 0]);
+    }
+}
--- /dev/null
+++ b/src/coordination/policy/giveback.rs
@@ -0,0 +1,131 @@
+//! Giving machines back (section 5.3.2, algorithm 2, equations 7 and 8): at or
+//! below α the least-used machine is marked; it goes back empty at the end of
+//! its paid period.
+
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Used<Id> {
+    pub id: Id,
+    pub kind: usize,
+    pub utilisation: f64,
+    /// Power against others, here the machine's CPUs.
+    pub power: f64,
+    /// What is left of the paid period.
+    pub paid_left: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Thresholds {
+    pub alpha: f64,
+    pub evenness: f64,
+    pub utilisation: f64,
+}
+
+/// η = H / H_max over the numbers of machines of each type; 0 for one type.
+pub fn evenness(counts: &[usize]) -> f64 {
+    let total: usize = counts.iter().sum();
+    if counts.len() < 2 || total == 0 {
+        return 0.0;
+    }
+    let h: f64 = counts
+        .iter()
+        .filter(|n| **n > 0)
+        .map(|n| {
+            let p = *n as f64 / total as f64;
+            -p * p.ln()
+        })
+        .sum();
+    h / (counts.len() as f64).ln()
+}
+
+/// The machine to mark, if any. `kinds` is the number of machine types.
+pub fn mark<'a, Id>(
+    miss_rate: f64,
+    tasks_waiting: usize,
+    machines: &'a [Used<Id>],
+    kinds: usize,
+    at: &Thresholds,
+) -> Option<&'a Used<Id>> {
+    if miss_rate > at.alpha || tasks_waiting > 0 {
+        return None;
+    }
+    let least = machines.iter().min_by(|a, b| {
+        a.utilisation
+            .total_cmp(&b.utilisation)
+            .then(a.power.total_cmp(&b.power))
+            .then(a.paid_left.cmp(&b.paid_left))
+    })?;
+    let mut counts = vec![0; kinds];
+    for machine in machines {
+        if let Some(count) = counts.get_mut(machine.kind) {
+            *count += 1;
+        }
+    }
+    let mixed = evenness(&counts) >= at.evenness;
+    (!mixed || least.utilisation < at.utilisation).then_some(least)
+}
+
+/// What is left of the paid period that is running now.
+pub fn paid_left(age: Duration, period: Duration) -> Duration {
+    let (age, period) = (age.as_millis(), period.as_millis().max(1));
+    Duration::from_millis((period - age % period) as u64)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const AT: Thresholds = Thresholds {
+        alpha: 0.05,
+        evenness: 0.4,
+        utilisation: 0.5,
+    };
+
+    fn used(id: u32, kind: usize, utilisation: f64, power: f64, left: u64) -> Used<u32> {
+        Used {
+            id,
+            kind,
+            utilisation,
+            power,
+            paid_left: Duration::from_secs(left),
+        }
+    }
+
+    #[test]
+    fn evenness_of_two_types() {
+        assert!((evenness(&[5, 5]) - 1.0).abs() < 1e-9);
+        assert_eq!(evenness(&[5, 0]), 0.0);
+        assert_eq!(evenness(&[5]), 0.0);
+        // p = 0.9, 0.1: H = 0.0948 + 0.2303 = 0.3251; / ln 2 = 0.4690
+        assert!((evenness(&[9, 1]) - 0.4690).abs() < 1e-3);
+    }
+
+    #[test]
+    fn the_least_used_then_weakest_then_soonest_paid_up() {
+        let machines = [
+            used(1, 0, 0.2, 16.0, 5),
+            used(2, 0, 0.0, 16.0, 9),
+            used(3, 0, 0.0, 4.0, 30),
+            used(4, 0, 0.0, 4.0, 20),
+        ];
+        assert_eq!(mark(0.05, 0, &machines, 1, &AT).map(|m| m.id), Some(4));
+        assert!(mark(0.051, 0, &machines, 1, &AT).is_none());
+        assert!(mark(0.0, 1, &machines, 1, &AT).is_none());
+    }
+
+    #[test]
+    fn a_mixed_fleet_keeps_busy_machines_and_a_uniform_one_does_not() {
+        let mixed = [used(1, 0, 0.6, 4.0, 5), used(2, 1, 0.7, 4.0, 5)];
+        assert!(mark(0.0, 0, &mixed, 2, &AT).is_none());
+        let uniform = [used(1, 0, 0.6, 4.0, 5), used(2, 0, 0.7, 4.0, 5)];
+        assert_eq!(mark(0.0, 0, &uniform, 2, &AT).map(|m| m.id), Some(1));
+    }
+
+    #[test]
+    fn paid_periods_run_from_the_rental() {
+        let minute = Duration::from_secs(60);
+        assert_eq!(paid_left(Duration::from_secs(70), minute).as_secs(), 50);
+        assert_eq!(paid_left(Duration::ZERO, minute), minute);
+    }
+}
--- /dev/null
+++ b/src/coordination/ports.rs
@@ -0,0 +1,232 @@
+//! What the coordination layer says to workers, the cloud and its peers, and
+//! the ports through which it does. The transport layer implements them.
+
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+
+use crate::storage::*;
+
+/// How a task's process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    Done,
+    /// Stopped by command.
+    Stopped,
+    Failed,
+    /// Start refused: not enough room.
+    NoRoom,
+    /// Start refused: the task is there with another attempt.
+    Busy,
+    /// Start refused: the worker found no description of the job.
+    Unknown,
+    /// Another reason of the worker's.
+    Other,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    Fetching,
+    Running,
+    Saving,
+    Exited(Exit),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskReport {
+    pub task: TaskId,
+    pub attempt: Attempt,
+    pub state: TaskState,
+}
+
+/// What a worker tells of its machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub machine: MachineId,
+    pub address: String,
+    pub kind: TypeName,
+    pub zone: ZoneName,
+    pub spot: bool,
+    pub session: Session,
+    pub sequence: u64,
+    pub token: Token,
+    pub notice: Option<Duration>,
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    Start {
+        task: TaskId,
+        attempt: Attempt,
+    },
+    Stop {
+        task: TaskId,
+        attempt: Attempt,
+        grace: Duration,
+    },
+    Clear {
+        task: TaskId,
+        attempt: Attempt,
+    },
+}
+
+/// The answer to a report.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReportAnswer {
+    Accepted {
+        token: Token,
+        commands: Vec<Command>,
+    },
+    /// Another controller holds the machine, if it is known which.
+    NotHere(Option<NodeName>),
+    /// Cannot tell now.
+    Unavailable,
+}
+
+/// No usable answer: the call may have been executed, or may yet be.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no answer: {0}")]
+pub struct NoAnswer(pub String);
+
+pub struct OrdersAnswer {
+    /// False: nothing was executed, as token or session did not match.
+    pub executed: bool,
+    pub report: Report,
+}
+
+pub trait WorkerPort: Send + Sync {
+    fn orders<'a>(
+        &'a self,
+        address: &'a str,
+        token: Token,
+        session: Session,
+        commands: &'a [Command],
+    ) -> BoxFuture<'a, Result<OrdersAnswer, NoAnswer>>;
+
+    fn inspect<'a>(&'a self, address: &'a str) -> BoxFuture<'a, Result<Report, NoAnswer>>;
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CloudError {
+    #[error("no capacity")]
+    NoCapacity,
+    #[error("refused: not executed")]
+    Unavailable,
+    #[error("no answer: perhaps executed")]
+    NoAnswer,
+    #[error("rejected: {0}")]
+    Rejected(String),
+}
+
+/// Where the cloud says a machine is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineStage {
+    Booting,
+    Running,
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedMachine {
+    pub id: MachineId,
+    pub kind: TypeName,
+    pub zone: ZoneName,
+    pub spot: bool,
+    pub stage: MachineStage,
+    pub age: Duration,
+}
+
+/// What to rent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wanted {
+    pub kind: TypeName,
+    pub zone: ZoneName,
+    pub spot: bool,
+    pub count: u32,
+}
+
+pub trait CloudPort: Send + Sync {
+    fn catalog(&self) -> BoxFuture<'_, Result<Vec<MachineType>, CloudError>>;
+    fn rent<'a>(
+        &'a self,
+        name: &'a RentName,
+        wanted: &'a Wanted,
+    ) -> BoxFuture<'a, Result<Vec<MachineId>, CloudError>>;
+    fn give_back<'a>(&'a self, machines: &'a [MachineId]) -> BoxFuture<'a, Result<(), CloudError>>;
+    fn list(&self) -> BoxFuture<'_, Result<Vec<ListedMachine>, CloudError>>;
+}
+
+/// A machine as a controller that holds it, or was asked by it, sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldMachine {
+    pub machine: MachineId,
+    /// Since the last report.
+    pub silent: Duration,
+    /// Direct calls to it fail as well.
+    pub unreachable: bool,
+    /// Several jobs failed on it.
+    pub suspect: bool,
+    /// The cloud has announced to take it.
+    pub leaving: bool,
+    pub images: Vec<ImageName>,
+    /// Learned speed against others of its kind.
+    pub speed: f64,
+}
+
+/// A worker that reported to a controller which does not hold its machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sighting {
+    pub machine: MachineId,
+    pub kind: TypeName,
+    pub zone: ZoneName,
+    pub spot: bool,
+    pub age: Duration,
+}
+
+/// What controllers tell each other every second.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Status {
+    pub node: NodeName,
+    pub incarnation: Incarnation,
+    /// Highest revision that any answer of the state service carried.
+    pub seen: Revision,
+    pub state_reachable: bool,
+    pub held: Vec<HeldMachine>,
+    pub sightings: Vec<Sighting>,
+    /// Jobs whose tasks fail on several machines, with the pause before the next try.
+    pub failing: Vec<(JobId, Duration)>,
+}
+
+/// Tasks of a job that the leader gives to a holder to place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    pub job: JobId,
+    pub tasks: Vec<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerCall {
+    Status(Status),
+    /// Tasks to place.
+    Offers(Vec<Offer>),
+    /// Tasks to stop, to make room for others.
+    Preempt(Vec<TaskId>),
+    /// Is there a worker at this address?
+    Probe(String),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerAnswer {
+    Status(Status),
+    Taken,
+    Probed(bool),
+}
+
+pub trait PeerPort: Send + Sync {
+    fn call<'a>(
+        &'a self,
+        node: &'a NodeName,
+        call: PeerCall,
+    ) -> BoxFuture<'a, Result<PeerAnswer, NoAnswer>>;
+}
--- /dev/null
+++ b/src/coordination/reports.rs
@@ -0,0 +1,152 @@
+//! Answers workers' reports.
+
+use tokio::time::Instant;
+
+use super::{
+    holder::HolderState,
+    node::{Node, lock},
+    ports::*,
+    view::{Source, View},
+};
+use crate::storage::{records::*, *};
+
+/// Commands in one answer; the rest follow with the next.
+const COMMANDS: usize = 400;
+
+impl Node {
+    pub fn answer_report(&self, report: &Report) -> ReportAnswer {
+        if !self.store.is_loaded() {
+            return ReportAnswer::Unavailable;
+        }
+        let now = Instant::now();
+        let book = self.store.book();
+        let holder = book
+            .block_of(&report.machine)
+            .map(|(node, block)| (node.clone(), block.value.holder, block.mark));
+        let Some((node, holder, mark)) = holder else {
+            drop(book);
+            self.sight(report);
+            return ReportAnswer::NotHere(None);
+        };
+        if node != self.config.node {
+            let alive = book
+                .nodes
+                .get(&node)
+                .is_some_and(|kept| Some(kept.value.incarnation) == holder);
+            drop(book);
+            self.sight(report);
+            return ReportAnswer::NotHere(alive.then_some(node));
+        }
+        let token = Token::from(mark);
+        // Another process held the block, our view of it is behind, or our
+        // right to renew leases has run out: a 200 would be wrong or dropped.
+        if holder != Some(self.config.incarnation) || report.token > token || !self.is_entitled() {
+            return ReportAnswer::Unavailable;
+        }
+        let mut state = lock(&self.holder);
+        let HolderState {
+            views, preempting, ..
+        } = &mut *state;
+        let view = views
+            .entry(report.machine.clone())
+            .or_insert_with(|| View::new(token, now));
+        if !view.take(report, Source::Report, now) {
+            // Overtaken by the answer to a direct command. The worker may still
+            // wait for this one, so it gets its lease, but nothing to do.
+            return ReportAnswer::Accepted {
+                token,
+                commands: Vec::new(),
+            };
+        }
+        let mut commands = commands(&report.machine, view, &book, |task, attempt| {
+            preempting.get(task) == Some(&attempt)
+        });
+        commands.truncate(COMMANDS);
+        view.answer_starts(&commands);
+        drop(state);
+        drop(book);
+        self.holder_kick.notify_one();
+        ReportAnswer::Accepted { token, commands }
+    }
+}
+
+/// How long a task may take to save when it is stopped for another reason than
+/// its job's cancellation.
+pub(super) fn grace(spec: Option<&JobSpec>, cancelled: bool) -> std::time::Duration {
+    match spec {
+        Some(spec) if !cancelled && !spec.checkpoint.is_zero() => spec.save,
+        _ => std::time::Duration::ZERO,
+    }
+}
+
+/// What to tell a worker in answer to its report. Starts are given for
+/// committed placements only, clears for committed results only.
+fn commands(
+    machine: &MachineId,
+    view: &View,
+    book: &Book,
+    preempting: impl Fn(&TaskId, Attempt) -> bool,
+) -> Vec<Command> {
+    let none = Default::default();
+    let placed: &std::collections::BTreeMap<TaskId, Placement> =
+        book.on_machine.get(machine).unwrap_or(&none);
+    let mut clears = Vec::new();
+    let mut others = Vec::new();
+    for (task, seen) in &view.tasks {
+        let job = book.jobs.get(&task.job);
+        let matching = placed
+            .get(task)
+            .filter(|placement| placement.attempt == seen.attempt);
+        let exited = matches!(seen.state, TaskState::Exited(_));
+        let attempt = seen.attempt;
+        match (matching, exited) {
+            // Its result is being committed.
+            (Some(_), true) => {}
+            (Some(_), false) => {
+                let cancelled = job.is_some_and(|job| job.draining.is_some());
+                if cancelled || preempting(task, attempt) {
+                    others.push(Command::Stop {
+                        task: task.clone(),
+                        attempt,
+                        grace: grace(job.and_then(|job| job.spec()).map(|s| &**s), cancelled),
+                    });
+                }
+            }
+            // Once cleared, a start that is still on its way would run it again.
+            (None, true) if view.is_settled() => clears.push(Command::Clear {
+                task: task.clone(),
+                attempt,
+            }),
+            (None, true) => {}
+            // Nobody's placement: our book holds all that earlier holders
+            // committed, since it holds our block's record.
+            (None, false) => others.push(Command::Stop {
+                task: task.clone(),
+                attempt,
+                grace: std::time::Duration::ZERO,
+            }),
+        }
+    }
+    for (task, placement) in placed {
+        let listed = view
+            .tasks
+            .get(task)
+            .is_some_and(|seen| seen.attempt == placement.attempt);
+        let cancelled = book
+            .jobs
+            .get(&task.job)
+            .is_none_or(|job| job.draining.is_some() || job.spec.is_none());
+        if !listed
+            && !cancelled
+            && placement.session == view.session
+            && !preempting(task, placement.attempt)
+        {
+            others.push(Command::Start {
+                task: task.clone(),
+                attempt: placement.attempt,
+            });
+        }
+    }
+    clears.extend(others);
+    clears
+}
--- /dev/null
+++ b/src/coordination/session.rs
@@ -0,0 +1,103 @@
+//! A controller's own grant: it shows that the process lives and carries its
+//! claim to leadership. Both keys go when the grant does.
+
+use std::time::Duration;
+
+use super::node::{Node, lock};
+use crate::storage::{
+    budget::Urgency,
+    client::GrantId,
+    keys,
+    records::{LeaderRecord, NodeRecord},
+    *,
+};
+
+impl Node {
+    /// Duty: keeps the grant, registers this process and stands for leadership.
+    pub(super) async fn keep_session(&self) {
+        let life = self.config.tuning.node_lease;
+        let mut grant: Option<GrantId> = None;
+        while !self.stop.is_cancelled() {
+            let held = match grant {
+                Some(held) => match self.store.renew(held).await {
+                    Ok(()) => Some(held),
+                    // It ended, and our keys with it.
+                    Err(StateError::NoGrant) => {
+                        tracing::info!("our grant has ended");
+                        None
+                    }
+                    // Unknown: it may still live; try on.
+                    Err(_) => Some(held),
+                },
+                None => None,
+            };
+            grant = match held {
+                Some(held) => Some(held),
+                None => self.register(life).await,
+            };
+            if let Some(held) = grant
+                && self.store.is_loaded()
+            {
+                self.stand_for_leader(held).await;
+            }
+            let wait = if grant.is_some() { life / 5 } else { life / 20 };
+            if !self.pause(wait.mul_f64(rand::random_range(0.8..1.2))).await {
+                return;
+            }
+        }
+    }
+
+    async fn register(&self, life: Duration) -> Option<GrantId> {
+        let grant = self.store.grant(life).await.ok()?;
+        let record = NodeRecord {
+            incarnation: self.config.incarnation,
+            zone: self.config.zone.clone(),
+        };
+        // Unconditional: an earlier process of this node is dead, whatever its
+        // key still says.
+        let transaction =
+            Transaction::default().set_with(keys::node(&self.config.node), &record, Some(grant));
+        match self.store.commit(&transaction, Urgency::Fence).await {
+            Ok(_) => {
+                tracing::info!(incarnation = %self.config.incarnation, "registered");
+                Some(grant)
+            }
+            Err(error) => {
+                tracing::debug!(%error, "cannot register yet");
+                None
+            }
+        }
+    }
+
+    async fn stand_for_leader(&self, grant: GrantId) {
+        let expected = {
+            let book = self.store.book();
+            match &book.leader {
+                None => Revision(0),
+                // Left by an earlier process of this node, which is dead.
+                Some(kept)
+                    if kept.value.node == self.config.node
+                        && kept.value.incarnation != self.config.incarnation =>
+                {
+                    kept.mark
+                }
+                Some(_) => return,
+            }
+        };
+        let record = LeaderRecord {
+            node: self.config.node.clone(),
+            incarnation: self.config.incarnation,
+        };
+        let transaction = Transaction::default()
+            .require(keys::LEADER.into(), expected)
+            .set_with(keys::LEADER.into(), &record, Some(grant));
+        match self.store.commit(&transaction, Urgency::Fence).await {
+            Ok(mark) => {
+                tracing::info!(%mark, "this node leads now");
+                lock(&self.leader).reset(mark, grant);
+                self.leader_kick.notify_one();
+            }
+            Err(error) => tracing::debug!(%error, "not elected"),
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/view.rs
@@ -0,0 +1,326 @@
+//! A holder's view of one machine: what its worker said last, in order, and
+//! what can be concluded from it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::ports::*;
+use crate::storage::*;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub attempt: Attempt,
+    pub state: TaskState,
+    pub running_since: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A report that waits for our answer.
+    Report,
+    /// The answer to a direct command or to a look.
+    Direct,
+}
+
+/// Failures on one machine before it counts as suspect: from this many jobs.
+const SUSPECT_JOBS: usize = 2;
+const FAILURES_KEPT: usize = 16;
+const REFUSALS_KEPT: usize = 256;
+const FAILURE_WINDOW: Duration = Duration::from_secs(180);
+
+#[derive(Debug)]
+pub struct View {
+    /// Our token when the machine came to us: a worker that has seen it drops
+    /// every command of earlier holders.
+    pub acquired: Token,
+    pub address: Option<String>,
+    pub session: Session,
+    sequence: u64,
+    pub token: Token,
+    /// Last report, or since when we have held the machine.
+    pub heard: Instant,
+    pub reported: bool,
+    pub unreachable: bool,
+    pub probed: Option<Instant>,
+    pub leaves_at: Option<Instant>,
+    pub tasks: BTreeMap<TaskId, Seen>,
+    /// The newest message was a report, so that what it does not list is not
+    /// on its way in an earlier answer of ours.
+    complete: bool,
+    /// Highest token of a direct start that got no answer. It may be executed
+    /// as long as the worker has seen no higher one.
+    pub unsettled: Option<(Token, Instant)>,
+    /// Direct starts that wait for their answer.
+    starts_in_flight: u32,
+    /// Starts given in the answer to the newest report: executed, or not, only
+    /// the next report tells.
+    answered_starts: BTreeSet<TaskId>,
+    images: Vec<(ImageName, f64)>,
+    failures: VecDeque<(JobId, Instant)>,
+    refusals: HashMap<JobId, Instant>,
+    pub stops_sent: HashMap<TaskId, Instant>,
+    pub speed: f64,
+}
+
+impl View {
+    pub fn new(acquired: Token, now: Instant) -> Self {
+        Self {
+            acquired,
+            address: None,
+            session: Session(0),
+            sequence: 0,
+            token: Token(0),
+            heard: now,
+            reported: false,
+            unreachable: false,
+            probed: None,
+            leaves_at: None,
+            tasks: BTreeMap::new(),
+            complete: false,
+            unsettled: None,
+            starts_in_flight: 0,
+            answered_starts: BTreeSet::new(),
+            images: Vec::new(),
+            failures: VecDeque::new(),
+            refusals: HashMap::new(),
+            stops_sent: HashMap::new(),
+            speed: 1.0,
+        }
+    }
+
+    /// Takes a message in, unless a newer one is known. Messages can be minutes
+    /// late; the larger (session, sequence) is the newer.
+    pub fn take(&mut self, report: &Report, source: Source, now: Instant) -> bool {
+        if (report.session, report.sequence) <= (self.session, self.sequence) {
+            return false;
+        }
+        if report.session > self.session {
+            self.tasks.clear();
+            self.stops_sent.clear();
+        }
+        self.session = report.session;
+        self.sequence = report.sequence;
+        self.token = self.token.max(report.token);
+        self.address = Some(report.address.clone());
+        self.leaves_at = report.notice.map(|notice| now + notice);
+        self.complete = source == Source::Report;
+        self.unreachable = false;
+        if source == Source::Report {
+            self.heard = now;
+            self.reported = true;
+            self.answered_starts.clear();
+        }
+        let old = std::mem::take(&mut self.tasks);
+        for entry in &report.tasks {
+            let before = old
+                .get(&entry.task)
+                .filter(|seen| seen.attempt == entry.attempt);
+            let running_since = match entry.state {
+                TaskState::Running => before.and_then(|seen| seen.running_since).or(Some(now)),
+                _ => before.and_then(|seen| seen.running_since),
+            };
+            self.tasks.insert(
+                entry.task.clone(),
+                Seen {
+                    attempt: entry.attempt,
+                    state: entry.state,
+                    running_since,
+                },
+            );
+        }
+        self.stops_sent
+            .retain(|task, _| report.tasks.iter().any(|t| t.task == *task));
+        if self.is_settled() {
+            self.unsettled = None;
+        }
+        true
+    }
+
+    /// No command that we or an earlier holder sent can still be executed
+    /// unseen: every one carried a lower token than the worker knows, or was
+    /// answered.
+    pub fn is_settled(&self) -> bool {
+        self.token >= self.acquired
+            && self.starts_in_flight == 0
+            && self.unsettled.is_none_or(|(token, _)| self.token > token)
+    }
+
+    /// A task that the newest message does not list is surely not there.
+    pub fn absence_is_proof(&self, task: &TaskId) -> bool {
+        self.complete && self.is_settled() && !self.answered_starts.contains(task)
+    }
+
+    pub fn answer_starts(&mut self, commands: &[Command]) {
+        self.answered_starts
+            .extend(commands.iter().filter_map(|command| match command {
+                Command::Start { task, .. } => Some(task.clone()),
+                _ => None,
+            }));
+    }
+
+    pub fn start_sent(&mut self) {
+        self.starts_in_flight += 1;
+    }
+
+    pub fn start_answered(&mut self) {
+        self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
+    }
+
+    /// An earlier session's tasks are gone.
+    pub fn outlived(&self, session: Session) -> bool {
+        self.session > session && self.token >= self.acquired
+    }
+
+    pub fn started_unanswered(&mut self, token: Token, now: Instant) {
+        let token = self.unsettled.map_or(token, |(known, _)| known.max(token));
+        self.unsettled = Some((token, now));
+    }
+
+    pub fn note_image(&mut self, image: &ImageName, gb: f64, cache_gb: f64) {
+        self.images.retain(|(known, _)| known != image);
+        self.images.push((image.clone(), gb));
+        // The machine keeps the most recently used ones.
+        let mut sum: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while sum > cache_gb && self.images.len() > 1 {
+            sum -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn images(&self) -> Vec<ImageName> {
+        self.images.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    pub fn note_failure(&mut self, job: &JobId, now: Instant) {
+        self.failures.push_back((job.clone(), now));
+        if self.failures.len() > FAILURES_KEPT {
+            self.failures.pop_front();
+        }
+    }
+
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        let mut jobs: Vec<&JobId> = self
+            .failures
+            .iter()
+            .filter(|(_, at)| now.duration_since(*at) < FAILURE_WINDOW)
+            .map(|(job, _)| job)
+            .collect();
+        jobs.sort();
+        jobs.dedup();
+        jobs.len() >= SUSPECT_JOBS
+    }
+
+    /// The job is not tried here again for a while.
+    pub fn refuse(&mut self, job: &JobId, until: Instant, now: Instant) {
+        if self.refusals.len() >= REFUSALS_KEPT {
+            self.refusals.retain(|_, at| *at > now);
+        }
+        if self.refusals.len() < REFUSALS_KEPT {
+            self.refusals.insert(job.clone(), until);
+        }
+    }
+
+    pub fn refuses(&self, job: &JobId, now: Instant) -> bool {
+        self.refusals.get(job).is_some_and(|until| *until > now)
+    }
+
+    pub fn silent(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn report(session: u64, sequence: u64, token: u64) -> Report {
+        Report {
+            machine: MachineId::new("vm-1"),
+            address: "10.0.0.1:9".into(),
+            kind: TypeName::new("t"),
+            zone: ZoneName::new("z"),
+            spot: false,
+            session: Session(session),
+            sequence,
+            token: Token(token),
+            notice: None,
+            tasks: Vec::new(),
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn late_messages_change_nothing() {
+        let now = Instant::now();
+        let mut view = View::new(Token(5), now);
+        assert!(view.take(&report(1, 7, 0), Source::Report, now));
+        assert!(!view.take(&report(1, 7, 9), Source::Report, now));
+        assert!(!view.take(&report(1, 6, 9), Source::Report, now));
+        assert!(view.take(&report(2, 1, 5), Source::Report, now));
+        assert!(view.outlived(Session(1)));
+    }
+
+    /// Guards against a start of ours, or of an earlier holder, that sits in
+    /// the network and is executed after we took the task for gone.
+    #[tokio::test(start_paused = true)]
+    async fn absence_proves_nothing_while_a_start_may_be_on_its_way() {
+        let now = Instant::now();
+        let mut view = View::new(Token(5), now);
+        let task = TaskId::parse("job-1/0").expect("a task");
+        view.take(&report(1, 1, 4), Source::Report, now);
+        assert!(!view.absence_is_proof(&task), "an earlier holder's start");
+        view.take(&report(1, 2, 5), Source::Report, now);
+        assert!(view.absence_is_proof(&task));
+        view.answer_starts(&[Command::Start {
+            task: task.clone(),
+            attempt: Attempt(1),
+        }]);
+        assert!(!view.absence_is_proof(&task), "told in the last answer");
+        view.take(&report(1, 3, 5), Source::Report, now);
+        assert!(view.absence_is_proof(&task));
+        view.start_sent();
+        assert!(!view.absence_is_proof(&task), "a direct start on its way");
+        view.start_answered();
+        view.started_unanswered(Token(5), now);
+        view.take(&report(1, 4, 5), Source::Report, now);
+        assert!(!view.absence_is_proof(&task), "our own unanswered start");
+        view.take(&report(1, 5, 6), Source::Direct, now);
+        assert!(
+            !view.absence_is_proof(&task),
+            "an answer of ours may be on its way"
+        );
+        view.take(&report(1, 6, 6), Source::Report, now);
+        assert!(view.absence_is_proof(&task));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn failures_of_several_jobs_make_a_machine_suspect() {
+        let now = Instant::now();
+        let mut view = View::new(Token(5), now);
+        view.note_failure(&JobId::new("job-1"), now);
+        view.note_failure(&JobId::new("job-1"), now);
+        assert!(!view.is_suspect(now));
+        view.note_failure(&JobId::new("job-2"), now);
+        assert!(view.is_suspect(now));
+        assert!(!view.is_suspect(now + FAILURE_WINDOW * 2));
+    }
+
+    #[test]
+    fn the_cache_keeps_the_latest_images() {
+        tokio::runtime::Builder::new_current_thread()
+            .build()
+            .expect("a runtime")
+            .block_on(async {
+                let mut view = View::new(Token(0), Instant::now());
+                for (name, gb) in [("a", 3.0), ("b", 3.0), ("a", 3.0), ("c", 5.0)] {
+                    view.note_image(&ImageName::new(name), gb, 9.0);
+                }
+                assert_eq!(
+                    view.images(),
+                    vec![ImageName::new("a"), ImageName::new("c")]
+                );
+            });
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,163 @@
+//! The program: command line, settings, logging, and the node's tasks.
+
+use std::{collections::HashMap, process::ExitCode, str::FromStr, sync::Arc};
+
+use clap::Parser;
+use stallcove::{
+    coordination::{Node, Tuning},
+    protocol::{operator, settings::Settings},
+    storage::{Incarnation, NodeName},
+    transport::{
+        Network,
+        http::HttpNetwork,
+        links,
+        ports::{HttpCloud, HttpState, HttpWorkers, LinkPeers},
+        server,
+    },
+};
+use tokio::{net::TcpListener, task::JoinSet};
+use tokio_util::sync::CancellationToken;
+use tracing_subscriber::{layer::SubscriberExt, util::SubscriberInitExt};
+
+/// A cluster scheduler for small sites.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    /// The platform's settings file (JSON)
+    #[arg(long, value_name = "FILE")]
+    config: String,
+    /// The operators' own settings (protobuf text format)
+    #[arg(long, value_name = "FILE")]
+    operator: Option<String>,
+    /// Check the settings files and end
+    #[arg(long)]
+    check: bool,
+}
+
+/// Share of the sockets that may be taken by connections to us.
+const PLACES_SHARE: f64 = 0.75;
+
+fn start_logging() {
+    let wanted = std::env::var("LOG_LEVEL").unwrap_or_default();
+    let level = tracing::Level::from_str(&wanted).unwrap_or(tracing::Level::INFO);
+    // Our own words at the level asked for; of the libraries' only failures.
+    let filter = tracing_subscriber::filter::Targets::new()
+        .with_default(tracing::Level::ERROR)
+        .with_target("stallcove", level);
+    tracing_subscriber::registry()
+        .with(
+            tracing_subscriber::fmt::layer()
+                .with_writer(std::io::stderr)
+                .with_ansi(false)
+                .with_target(false),
+        )
+        .with(filter)
+        .init();
+    if !wanted.is_empty() && tracing::Level::from_str(&wanted).is_err() {
+        tracing::warn!(LOG_LEVEL = wanted, "not a log level; using info");
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let loaded = Settings::load(&arguments.config).and_then(|settings| {
+        let tuning = match &arguments.operator {
+            Some(path) => operator::load(path)?,
+            None => Tuning::default(),
+        };
+        Ok((settings, tuning))
+    });
+    let (settings, tuning) = match loaded {
+        Ok(loaded) => loaded,
+        Err(error) => {
+            eprintln!("stallcove: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    start_logging();
+    // A panic anywhere means that a duty is broken: better to end, and be
+    // started again, than to go on half alive.
+    std::panic::set_hook(Box::new(|info| {
+        tracing::error!(%info, "ending after a panic");
+        std::process::exit(101);
+    }));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build();
+    let outcome = match runtime {
+        Ok(runtime) => runtime.block_on(run(settings, tuning)),
+        Err(error) => Err(format!("cannot start the runtime: {error}")),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(error, "ending");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(settings: Settings, tuning: Tuning) -> Result<(), String> {
+    let incarnation = Incarnation(rand::random::<u64>() >> 1);
+    let config = settings.config(incarnation, tuning);
+    let places = (config.max_connections as f64 * PLACES_SHARE) as usize;
+    let stop = CancellationToken::new();
+    let net: Arc<dyn Network> = Arc::new(HttpNetwork::default());
+    let addresses: HashMap<NodeName, String> = settings
+        .peers
+        .iter()
+        .map(|peer| (NodeName::new(peer.node_name.as_str()), peer.address.clone()))
+        .collect();
+    let bind = |address: String| async move {
+        TcpListener::bind(&address)
+            .await
+            .map_err(|error| format!("cannot listen on {address}: {error}"))
+    };
+    let public = bind(settings.serve_on.clone()).await?;
+    let private = bind(settings.peer_bind.clone()).await?;
+    let node = Node::new(
+        config,
+        Box::new(HttpState {
+            net: net.clone(),
+            address: settings.services.state.clone(),
+        }),
+        Box::new(HttpWorkers { net: net.clone() }),
+        Box::new(HttpCloud {
+            net: net.clone(),
+            address: settings.services.cloud.clone(),
+        }),
+        Box::new(LinkPeers { net, addresses }),
+        stop.clone(),
+    );
+    tracing::info!(node = %node.config.node, zone = %node.config.zone, %incarnation, "started");
+    let mut duties: JoinSet<&'static str> = JoinSet::new();
+    node.start(&mut duties);
+    {
+        let (node, stop) = (node.clone(), stop.clone());
+        duties.spawn(async move {
+            server::serve(server::router(node), public, places, stop).await;
+            "server"
+        });
+    }
+    {
+        let (node, stop) = (node.clone(), stop.clone());
+        duties.spawn(async move {
+            links::serve(node, private, stop).await;
+            "peer links"
+        });
+    }
+    // Duties go on until the process is told to stop, which nobody does here:
+    // one that ends has failed.
+    let ended = duties.join_next().await;
+    stop.cancel();
+    Err(match ended {
+        Some(Ok(duty)) => format!("the duty \"{duty}\" has ended"),
+        Some(Err(error)) => format!("a duty has failed: {error}"),
+        None => "no duty runs".into(),
+    })
+}
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,235 @@
+//! What controllers say to each other: `rkyv` archives in length-framed
+//! messages, validated before they are read.
+
+use std::time::Duration;
+
+use rkyv::{Archive, Deserialize, Serialize, rancor::Error};
+
+use crate::{coordination::ports::*, storage::*};
+
+/// Frames beyond this are not read.
+pub const FRAME_LIMIT: usize = 512 * 1024;
+
+#[derive(Archive, Serialize, Deserialize, Debug)]
+struct Held {
+    machine: String,
+    silent_ms: u64,
+    unreachable: bool,
+    suspect: bool,
+    leaving: bool,
+    images: Vec<String>,
+    speed: f64,
+}
+
+#[derive(Archive, Serialize, Deserialize, Debug)]
+struct Seen {
+    machine: String,
+    kind: String,
+    zone: String,
+    spot: bool,
+    age_ms: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize, Debug)]
+struct WireStatus {
+    node: String,
+    incarnation: u64,
+    seen: u64,
+    state_reachable: bool,
+    held: Vec<Held>,
+    sightings: Vec<Seen>,
+    failing: Vec<(String, u64)>,
+}
+
+#[derive(Archive, Serialize, Deserialize, Debug)]
+enum Ask {
+    Status(WireStatus),
+    Offers(Vec<(String, Vec<u32>)>),
+    Preempt(Vec<(String, u32)>),
+    Probe(String),
+}
+
+#[derive(Archive, Serialize, Deserialize, Debug)]
+enum Tell {
+    Status(WireStatus),
+    Taken,
+    Probed(bool),
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis().min(u128::from(u32::MAX)) as u64
+}
+
+impl From<Status> for WireStatus {
+    fn from(status: Status) -> Self {
+        WireStatus {
+            node: status.node.to_string(),
+            incarnation: status.incarnation.0,
+            seen: status.seen.0,
+            state_reachable: status.state_reachable,
+            held: status
+                .held
+                .into_iter()
+                .map(|held| Held {
+                    machine: held.machine.to_string(),
+                    silent_ms: millis(held.silent),
+                    unreachable: held.unreachable,
+                    suspect: held.suspect,
+                    leaving: held.leaving,
+                    images: held.images.iter().map(ToString::to_string).collect(),
+                    speed: held.speed,
+                })
+                .collect(),
+            sightings: status
+                .sightings
+                .into_iter()
+                .map(|seen| Seen {
+                    machine: seen.machine.to_string(),
+                    kind: seen.kind.to_string(),
+                    zone: seen.zone.to_string(),
+                    spot: seen.spot,
+                    age_ms: millis(seen.age),
+                })
+                .collect(),
+            failing: status
+                .failing
+                .into_iter()
+                .map(|(job, pause)| (job.to_string(), millis(pause)))
+                .collect(),
+        }
+    }
+}
+
+impl From<WireStatus> for Status {
+    fn from(wire: WireStatus) -> Self {
+        Status {
+            node: NodeName::new(wire.node),
+            incarnation: Incarnation(wire.incarnation),
+            seen: Revision(wire.seen),
+            state_reachable: wire.state_reachable,
+            held: wire
+                .held
+                .into_iter()
+                .map(|held| HeldMachine {
+                    machine: MachineId::new(held.machine),
+                    silent: Duration::from_millis(held.silent_ms),
+                    unreachable: held.unreachable,
+                    suspect: held.suspect,
+                    leaving: held.leaving,
+                    images: held.images.into_iter().map(ImageName::new).collect(),
+                    speed: held.speed,
+                })
+                .collect(),
+            sightings: wire
+                .sightings
+                .into_iter()
+                .map(|seen| Sighting {
+                    machine: MachineId::new(seen.machine),
+                    kind: TypeName::new(seen.kind),
+                    zone: ZoneName::new(seen.zone),
+                    spot: seen.spot,
+                    age: Duration::from_millis(seen.age_ms),
+                })
+                .collect(),
+            failing: wire
+                .failing
+                .into_iter()
+                .filter_map(|(job, pause)| {
+                    Some((JobId::parse(&job)?, Duration::from_millis(pause)))
+                })
+                .collect(),
+        }
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+#[error("not a message of a controller: {0}")]
+pub struct BadFrame(#[from] Error);
+
+pub fn write_call(call: PeerCall) -> Result<Vec<u8>, BadFrame> {
+    let ask = match call {
+        PeerCall::Status(status) => Ask::Status(status.into()),
+        PeerCall::Offers(offers) => Ask::Offers(
+            offers
+                .into_iter()
+                .map(|offer| (offer.job.to_string(), offer.tasks))
+                .collect(),
+        ),
+        PeerCall::Preempt(tasks) => Ask::Preempt(
+            tasks
+                .into_iter()
+                .map(|task| (task.job.to_string(), task.index))
+                .collect(),
+        ),
+        PeerCall::Probe(address) => Ask::Probe(address),
+    };
+    Ok(rkyv::to_bytes::<Error>(&ask)?.to_vec())
+}
+
+pub fn read_call(frame: &[u8]) -> Result<PeerCall, BadFrame> {
+    let frame = aligned(frame);
+    Ok(match rkyv::from_bytes::<Ask, Error>(&frame)? {
+        Ask::Status(status) => PeerCall::Status(status.into()),
+        Ask::Offers(offers) => PeerCall::Offers(
+            offers
+                .into_iter()
+                .filter_map(|(job, tasks)| {
+                    Some(Offer {
+                        job: JobId::parse(&job)?,
+                        tasks,
+                    })
+                })
+                .collect(),
+        ),
+        Ask::Preempt(tasks) => PeerCall::Preempt(
+            tasks
+                .into_iter()
+                .filter_map(|(job, index)| Some(TaskId::new(JobId::parse(&job)?, index)))
+                .collect(),
+        ),
+        Ask::Probe(address) => PeerCall::Probe(address),
+    })
+}
+
+pub fn write_answer(answer: PeerAnswer) -> Result<Vec<u8>, BadFrame> {
+    let tell = match answer {
+        PeerAnswer::Status(status) => Tell::Status(status.into()),
+        PeerAnswer::Taken => Tell::Taken,
+        PeerAnswer::Probed(up) => Tell::Probed(up),
+    };
+    Ok(rkyv::to_bytes::<Error>(&tell)?.to_vec())
+}
+
+pub fn read_answer(frame: &[u8]) -> Result<PeerAnswer, BadFrame> {
+    let frame = aligned(frame);
+    Ok(match rkyv::from_bytes::<Tell, Error>(&frame)? {
+        Tell::Status(status) => PeerAnswer::Status(status.into()),
+        Tell::Taken => PeerAnswer::Taken,
+        Tell::Probed(up) => PeerAnswer::Probed(up),
+    })
+}
+
+/// Archives are read in place and must lie at a multiple of their alignment.
+fn aligned(frame: &[u8]) -> rkyv::util::AlignedVec {
+    let mut copy = rkyv::util::AlignedVec::with_capacity(frame.len());
+    copy.extend_from_slice(frame);
+    copy
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_read_back_and_garbage_does_not() {
+        let call = PeerCall::Offers(vec![Offer {
+            job: JobId::new("job-000001"),
+            tasks: vec![3, 4],
+        }]);
+        let frame = write_call(call.clone()).expect("plain data");
+        assert_eq!(read_call(&frame).expect("ours"), call);
+        assert!(read_call(&[]).is_err());
+        assert!(read_call(&[0xff; 64]).is_err());
+        assert!(read_call(&frame[..frame.len() / 2]).is_err());
+    }
+}
--- /dev/null
+++ b/src/protocol/settings.rs
@@ -0,0 +1,302 @@
+//! The settings file that the platform hands over.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::Deserialize;
+
+use super::seconds;
+use crate::{
+    coordination::{Config, Tuning, config::Objective},
+    storage::*,
+};
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read {path}: {source}")]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("{path} is not valid: {reason}")]
+    Invalid { path: String, reason: String },
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Settings {
+    pub node_name: String,
+    pub area: String,
+    pub serve_on: String,
+    pub peer_bind: String,
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    pub services: Services,
+    pub settings: Inner,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Peer {
+    pub node_name: String,
+    pub area: String,
+    pub address: String,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Services {
+    pub cloud: String,
+    pub state: String,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Inner {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    pub teams: Vec<TeamSettings>,
+    #[serde(default)]
+    pub objectives: Vec<ObjectiveSettings>,
+    pub workers: WorkerSettings,
+    pub state: StateSettings,
+    pub cloud: CloudSettings,
+    pub limits: LimitSettings,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct TeamSettings {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct ObjectiveSettings {
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct WorkerSettings {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct StateSettings {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: u32,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct CloudSettings {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct LimitSettings {
+    pub max_connections: u32,
+}
+
+fn positive(name: &str, value: f64) -> Result<f64, String> {
+    if value.is_finite() && value > 0.0 {
+        Ok(value)
+    } else {
+        Err(format!("{name} must be a positive number"))
+    }
+}
+
+fn span(name: &str, value: f64) -> Result<Duration, String> {
+    seconds(value)
+        .filter(|span| !span.is_zero())
+        .ok_or_else(|| format!("{name} must be a positive number of seconds"))
+}
+
+fn amount(name: &str, value: f64) -> Result<f64, String> {
+    if value.is_finite() && value >= 0.0 {
+        Ok(value)
+    } else {
+        Err(format!("{name} must not be negative"))
+    }
+}
+
+fn address(name: &str, value: &str) -> Result<(), String> {
+    value
+        .parse::<std::net::SocketAddr>()
+        .map(drop)
+        .map_err(|_| format!("{name} must be IP:PORT, not {value:?}"))
+}
+
+impl Settings {
+    pub fn load(path: &str) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.into(),
+            source,
+        })?;
+        Self::parse(&text).map_err(|reason| SettingsError::Invalid {
+            path: path.into(),
+            reason,
+        })
+    }
+
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Settings = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        address("serve_on", &self.serve_on)?;
+        address("peer_bind", &self.peer_bind)?;
+        address("services.cloud", &self.services.cloud)?;
+        address("services.state", &self.services.state)?;
+        for peer in &self.peers {
+            address("peers.address", &peer.address)?;
+            if peer.node_name == self.node_name {
+                return Err("peers must not name this node".into());
+            }
+        }
+        let ok = |name: &str| {
+            !name.is_empty() && name.len() <= 100 && !name.contains(|c: char| c.is_whitespace())
+        };
+        if !ok(&self.node_name) {
+            return Err("node_name must be a name without spaces".into());
+        }
+        if self.settings.teams.is_empty() {
+            return Err("settings.teams must not be empty".into());
+        }
+        for team in &self.settings.teams {
+            let name = |field: &str| format!("settings.teams {}: {field}", team.name);
+            amount(&name("cpus"), team.cpus)?;
+            amount(&name("cpus_max"), team.cpus_max)?;
+            amount(&name("gpus"), team.gpus)?;
+            amount(&name("gpus_max"), team.gpus_max)?;
+        }
+        let workers = &self.settings.workers;
+        let lease = span("settings.workers.lease_s", workers.lease_s)?;
+        let cancel = span("settings.workers.cancel_s", workers.cancel_s)?;
+        span("settings.workers.report_s", workers.report_s)?;
+        if cancel < lease + Duration::from_secs(6) {
+            // A node cut off from all news could not keep any worker.
+            return Err("settings.workers.cancel_s must exceed lease_s by 6 s or more".into());
+        }
+        let state = &self.settings.state;
+        positive("settings.state.rps", state.rps)?;
+        positive("settings.state.write_rps", state.write_rps)?;
+        if state.value_kb < 4.0 {
+            return Err("settings.state.value_kb must be at least 4".into());
+        }
+        if state.txn_ops < 4 {
+            return Err("settings.state.txn_ops must be at least 4".into());
+        }
+        positive("settings.cloud.rps", self.settings.cloud.rps)?;
+        span("settings.cloud.list_lag_s", self.settings.cloud.list_lag_s)?;
+        if self.settings.limits.max_connections < 64 {
+            return Err("settings.limits.max_connections must be at least 64".into());
+        }
+        Ok(())
+    }
+
+    /// In domain terms. Call it on checked settings.
+    pub fn config(&self, incarnation: Incarnation, tuning: Tuning) -> Config {
+        let span = |value| seconds(value).unwrap_or_default();
+        let inner = &self.settings;
+        Config {
+            node: NodeName::new(self.node_name.as_str()),
+            zone: ZoneName::new(self.area.as_str()),
+            incarnation,
+            peers: self
+                .peers
+                .iter()
+                .map(|peer| {
+                    (
+                        NodeName::new(peer.node_name.as_str()),
+                        ZoneName::new(peer.area.as_str()),
+                    )
+                })
+                .collect(),
+            teams: inner
+                .teams
+                .iter()
+                .map(|team| Team {
+                    name: TeamName::new(team.name.as_str()),
+                    guaranteed: Quota {
+                        cpus: team.cpus,
+                        gpus: team.gpus,
+                    },
+                    limit: Quota {
+                        cpus: team.cpus_max,
+                        gpus: team.gpus_max,
+                    },
+                })
+                .collect(),
+            objectives: inner
+                .objectives
+                .iter()
+                .map(|objective| Objective {
+                    class: objective.class.as_deref().map(ClassName::new),
+                    within: objective.within_s.and_then(seconds),
+                })
+                .collect(),
+            worker_report: span(inner.workers.report_s),
+            worker_lease: span(inner.workers.lease_s),
+            cancel: span(inner.workers.cancel_s),
+            state_rps: inner.state.rps,
+            state_write_rps: inner.state.write_rps,
+            txn_ops: inner.state.txn_ops as usize,
+            cloud_rps: inner.cloud.rps,
+            list_lag: span(inner.cloud.list_lag_s),
+            max_connections: inner.limits.max_connections as usize,
+            tuning,
+            wall: Arc::new(std::time::SystemTime::now),
+        }
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const EXAMPLE: &str = r#"{
+        "node_name": "n-0", "area": "a", "serve_on": "127.0.0.1:8080",
+        "peer_bind": "127.0.0.1:8081", "peers": [], "surprise": 1,
+        "services": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
+        "settings": {
+            "teams": [{"name": "t", "cpus": 4.0, "cpus_max": 8.0}],
+            "workers": {"report_s": 3.0, "lease_s": 20.0, "cancel_s": 50.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
+            "cloud": {"rps": 3.0, "list_lag_s": 12.0},
+            "limits": {"cpu": 0.08, "mem_mb": 72.0, "max_connections": 1500}
+        }}"#;
+
+    #[test]
+    fn unknown_fields_are_ignored() {
+        let config = Settings::parse(EXAMPLE)
+            .expect("valid")
+            .config(Incarnation(1), Tuning::default());
+        assert_eq!(config.entitled(), Duration::from_secs(27));
+        assert_eq!(config.teams[0].limit.cpus, 8.0);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        for (from, to, names) in [
+            ("\"lease_s\": 20.0", "\"lease_s\": -1", "lease_s"),
+            ("\"lease_s\": 20.0", "\"lease_s\": 48.0", "cancel_s"),
+            ("\"cpus\": 4.0", "\"cpus\": -4.0", "cpus"),
+            ("127.0.0.1:8080", "localhost:8080", "serve_on"),
+            ("\"txn_ops\": 32", "\"txn_ops\": 2", "txn_ops"),
+            ("\"node_name\": \"n-0\"", "\"node_name\": \"\"", "node_name"),
+            ("\"area\": \"a\",", "", "area"),
+        ] {
+            let error = Settings::parse(&EXAMPLE.replace(from, to)).expect_err(to);
+            assert!(error.contains(names), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/workers.rs
@@ -0,0 +1,156 @@
+//! Workers' messages.
+
+use serde::{Deserialize, Serialize};
+
+use super::seconds;
+use crate::{coordination::ports::*, storage::*};
+
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Hello {
+    pub mount: String,
+    pub addr: String,
+    pub breed: String,
+    pub paddock: String,
+    #[serde(default)]
+    pub loaners: bool,
+    pub tenure: u64,
+    pub tally: u64,
+    pub bridle: u64,
+    #[serde(default)]
+    pub recall_s: Option<f64>,
+    #[serde(default)]
+    pub strides: Vec<Stride>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Stride {
+    pub stride: String,
+    pub heat: u64,
+    pub stance: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<String>,
+}
+
+fn state(stride: &Stride) -> Option<TaskState> {
+    Some(match stride.stance.as_str() {
+        "fetching" | "waiting" => TaskState::Fetching,
+        "running" => TaskState::Running,
+        "flushing" => TaskState::Saving,
+        "exited" => TaskState::Exited(match stride.cause.as_deref() {
+            Some("done") => Exit::Done,
+            Some("halted") => Exit::Stopped,
+            Some("error") => Exit::Failed,
+            Some("full") => Exit::NoRoom,
+            Some("busy") => Exit::Busy,
+            Some("unknown") => Exit::Unknown,
+            _ => Exit::Other,
+        }),
+        _ => return None,
+    })
+}
+
+impl Hello {
+    /// None: not a report that we understand; taking part of it would lose tasks.
+    pub fn into_report(self) -> Option<Report> {
+        let mut tasks = Vec::with_capacity(self.strides.len());
+        for stride in &self.strides {
+            tasks.push(TaskReport {
+                task: TaskId::parse(&stride.stride)?,
+                attempt: Attempt(stride.heat),
+                state: state(stride)?,
+            });
+        }
+        if self.mount.is_empty() || self.mount.len() > 100 || self.addr.len() > 100 {
+            return None;
+        }
+        Some(Report {
+            machine: MachineId::new(self.mount),
+            address: self.addr,
+            kind: TypeName::new(self.breed),
+            zone: ZoneName::new(self.paddock),
+            spot: self.loaners,
+            session: Session(self.tenure),
+            sequence: self.tally,
+            token: Token(self.bridle),
+            notice: self.recall_s.and_then(seconds),
+            tasks,
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Call {
+    pub call: String,
+    pub stride: String,
+    pub heat: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cooldown_s: Option<f64>,
+}
+
+impl From<&Command> for Call {
+    fn from(command: &Command) -> Self {
+        let (call, task, attempt, cooldown_s) = match command {
+            Command::Start { task, attempt } => ("start", task, attempt, None),
+            Command::Stop {
+                task,
+                attempt,
+                grace,
+            } => ("kill", task, attempt, Some(grace.as_secs_f64())),
+            Command::Clear { task, attempt } => ("clear", task, attempt, None),
+        };
+        Call {
+            call: call.into(),
+            stride: task.to_string(),
+            heat: attempt.0,
+            cooldown_s,
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Answer {
+    pub bridle: u64,
+    pub calls: Vec<Call>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Orders {
+    pub bridle: u64,
+    pub tenure: u64,
+    pub calls: Vec<Call>,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Elsewhere<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub groom: Option<&'a str>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_is_read() {
+        let hello: Hello = serde_json::from_str(
+            r#"{"mount":"vm-000231","addr":"10.1.0.232:9000","breed":"g8","paddock":"a",
+            "loaners":true,"tenure":1,"tally":88,"bridle":41,"recall_s":null,
+            "strides":[{"stride":"job-000412/3","heat":2,"stance":"running"},
+                {"stride":"job-000398/0","heat":1,"stance":"exited","cause":"done"}]}"#,
+        )
+        .expect("valid");
+        let report = hello.into_report().expect("a report");
+        assert_eq!(report.token, Token(41));
+        assert_eq!(report.tasks[1].state, TaskState::Exited(Exit::Done));
+    }
+
+    #[test]
+    fn a_report_with_an_unknown_state_is_not_taken_in_part() {
+        let hello: Hello = serde_json::from_str(
+            r#"{"mount":"vm-1","addr":"a","breed":"b","paddock":"p","tenure":1,"tally":1,
+            "bridle":0,"strides":[{"stride":"job-1/0","heat":1,"stance":"dancing"}]}"#,
+        )
+        .expect("valid");
+        assert!(hello.into_report().is_none());
+    }
+}
--- /dev/null
+++ b/src/storage/client.rs
@@ -0,0 +1,490 @@
+//! The state-service client: paced reads and commits over a port, and the
+//! replica that they keep up to date.
+
+use std::{
+    collections::HashSet,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures::future::BoxFuture;
+use serde::Serialize;
+use serde_json::Value;
+use tokio::{
+    sync::{Notify, oneshot, watch},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    book::Book,
+    budget::{Budget, Urgency},
+    ids::Revision,
+    keys,
+    records::FateRecord,
+};
+
+/// A grant of the state service, to which keys can be attached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantId(pub u64);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op {
+    Set {
+        key: String,
+        value: Value,
+        grant: Option<GrantId>,
+    },
+    Drop {
+        key: String,
+    },
+}
+
+/// Compares revisions (0: the key is absent), then changes keys, all or nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Transaction {
+    pub conditions: Vec<(String, Revision)>,
+    pub ops: Vec<Op>,
+}
+
+impl Transaction {
+    pub fn require(mut self, key: String, mark: Revision) -> Self {
+        self.conditions.push((key, mark));
+        self
+    }
+
+    pub fn set(self, key: String, value: &impl Serialize) -> Self {
+        self.set_with(key, value, None)
+    }
+
+    pub fn set_with(mut self, key: String, value: &impl Serialize, grant: Option<GrantId>) -> Self {
+        // Our records are plain data with string keys; they always serialise.
+        let value = serde_json::to_value(value).unwrap_or(Value::Null);
+        self.ops.push(Op::Set { key, value, grant });
+        self
+    }
+
+    pub fn remove(mut self, key: String) -> Self {
+        self.ops.push(Op::Drop { key });
+        self
+    }
+
+    /// Joins another transaction on other keys to this one.
+    pub fn absorb(&mut self, other: Transaction) {
+        for condition in other.conditions {
+            if !self.conditions.contains(&condition) {
+                self.conditions.push(condition);
+            }
+        }
+        self.ops.extend(other.ops);
+    }
+}
+
+/// Why the state service did not do what it was asked.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StateError {
+    #[error("refused: not executed")]
+    Unavailable,
+    #[error("over the request limit: not executed")]
+    Throttled,
+    #[error("no answer: perhaps executed")]
+    NoAnswer,
+    #[error("the grant has ended")]
+    NoGrant,
+    #[error("too old a revision to follow")]
+    TooOld,
+    #[error("rejected: {0}")]
+    Rejected(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CommitError {
+    #[error("conditions failed on {0:?}")]
+    Conflict(Vec<String>),
+    #[error(transparent)]
+    State(#[from] StateError),
+}
+
+impl CommitError {
+    /// The transaction may have been executed, or may yet be.
+    pub fn is_unknown(&self) -> bool {
+        matches!(self, CommitError::State(StateError::NoAnswer))
+    }
+}
+
+/// A key as read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item {
+    pub key: String,
+    pub value: Value,
+    pub mark: Revision,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Set(Item),
+    Drop { key: String, mark: Revision },
+}
+
+pub struct Page {
+    pub items: Vec<Item>,
+    pub more: bool,
+    pub revision: Revision,
+}
+
+/// What a state service offers. Each call is bounded in time by its port.
+pub trait StatePort: Send + Sync {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Item>, StateError>>;
+    fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+    ) -> BoxFuture<'a, Result<Page, StateError>>;
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> BoxFuture<'a, Result<Revision, CommitError>>;
+    fn grant(&self, life: Duration) -> BoxFuture<'_, Result<GrantId, StateError>>;
+    fn renew(&self, grant: GrantId) -> BoxFuture<'_, Result<(), StateError>>;
+    fn follow(
+        &self,
+        from: Revision,
+        hold: Duration,
+    ) -> BoxFuture<'_, Result<(Revision, Vec<Event>), StateError>>;
+}
+
+/// How long a watch is held open: short enough that an outage shows quickly.
+const HOLD: Duration = Duration::from_millis(1000);
+/// Pause between two watches, so that busy times do not eat the request limit.
+const WATCH_GAP: Duration = Duration::from_millis(40);
+/// Pause between two fresh reads for users.
+const FRESH_GAP: Duration = Duration::from_millis(15);
+/// Fresh reads waiting at a time.
+const FRESH_WAITING: usize = 2_000;
+/// Without an answer for this long the state service counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(2_500);
+
+/// The state service as the rest of the program sees it.
+pub struct Store {
+    port: Box<dyn StatePort>,
+    book: Mutex<Book>,
+    changed: watch::Sender<u64>,
+    loaded: AtomicBool,
+    requests: Budget,
+    writes: Budget,
+    /// Start of the latest read or commit that the service answered and whose
+    /// changes are all in the book.
+    confirmed: Mutex<Option<Instant>>,
+    failing_since: Mutex<Option<Instant>>,
+    fresh_waiting: Mutex<Vec<oneshot::Sender<bool>>>,
+    fresh_asked: Notify,
+    /// Highest revision that any answer carried.
+    seen: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A poisoned lock means a duty has panicked, which ends the process anyway.
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Store {
+    pub fn new(port: Box<dyn StatePort>, rps: f64, write_rps: f64) -> Self {
+        Self {
+            port,
+            book: Mutex::default(),
+            changed: watch::Sender::new(0),
+            loaded: AtomicBool::new(false),
+            requests: Budget::new((rps * 0.5).max(2.0)),
+            writes: Budget::new((write_rps * 0.5).max(2.0)),
+            confirmed: Mutex::new(None),
+            failing_since: Mutex::new(None),
+            fresh_waiting: Mutex::default(),
+            fresh_asked: Notify::new(),
+            seen: AtomicU64::new(0),
+        }
+    }
+
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        lock(&self.book)
+    }
+
+    /// The live set has been read once; before that nothing can be decided.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+    }
+
+    /// Tells its receiver of every change of the book.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn touch(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    pub fn confirmed(&self) -> Option<Instant> {
+        *lock(&self.confirmed)
+    }
+
+    pub fn seen(&self) -> Revision {
+        Revision(self.seen.load(Ordering::Relaxed))
+    }
+
+    /// The state service answers this node.
+    pub fn is_reachable(&self) -> bool {
+        let failing = *lock(&self.failing_since);
+        failing.is_none_or(|since| since.elapsed() < LOST_AFTER)
+            && self
+                .confirmed()
+                .is_some_and(|at| at.elapsed() < HOLD + LOST_AFTER)
+    }
+
+    fn note<T>(&self, result: &Result<T, StateError>) {
+        let mut failing = lock(&self.failing_since);
+        match result {
+            Err(StateError::Unavailable | StateError::NoAnswer) => {
+                if failing.is_none() {
+                    tracing::info!("the state service does not answer");
+                    *failing = Some(Instant::now());
+                }
+            }
+            _ => {
+                if let Some(since) = failing.take()
+                    && since.elapsed() > LOST_AFTER
+                {
+                    tracing::info!(after = ?since.elapsed(), "the state service answers again");
+                }
+            }
+        }
+    }
+
+    fn saw(&self, revision: Revision) {
+        self.seen.fetch_max(revision.0, Ordering::Relaxed);
+    }
+
+    /// Commits, and puts the changes into the book. Overload answers are never
+    /// executed and are repeated a few times here.
+    pub async fn commit(
+        &self,
+        transaction: &Transaction,
+        urgency: Urgency,
+    ) -> Result<Revision, CommitError> {
+        let mut tries = 0;
+        loop {
+            self.requests.acquire(1.0, urgency).await;
+            let writes = transaction.ops.len() as f64;
+            self.writes.acquire(writes, urgency).await;
+            let result = self.port.commit(transaction).await;
+            match &result {
+                Ok(revision) => {
+                    self.note(&Ok(()));
+                    self.saw(*revision);
+                    self.absorb(transaction, *revision);
+                }
+                Err(CommitError::State(StateError::Throttled)) if tries < 4 => {
+                    tries += 1;
+                    let pause = rand::random_range(30..90) * tries;
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                    continue;
+                }
+                Err(CommitError::State(error)) => self.note::<()>(&Err(error.clone())),
+                Err(CommitError::Conflict(_)) => self.note(&Ok(())),
+            }
+            return result;
+        }
+    }
+
+    fn absorb(&self, transaction: &Transaction, revision: Revision) {
+        let mut book = self.book();
+        for op in &transaction.ops {
+            match op {
+                Op::Set { key, value, .. } => book.set(key, value.clone(), revision),
+                Op::Drop { key } => book.drop_ahead(key, revision),
+            }
+        }
+        drop(book);
+        self.touch();
+    }
+
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, StateError> {
+        self.requests.acquire(1.0, Urgency::User).await;
+        let result = self.port.get(key).await;
+        self.note(&result);
+        result
+    }
+
+    /// Looks a fate up; `None`: the job has none.
+    pub async fn look_up_fate(&self, job: &super::JobId) -> Result<Option<FateRecord>, StateError> {
+        let Some(item) = self.get(&keys::fate(job)).await? else {
+            return Ok(None);
+        };
+        let fate: FateRecord = serde_json::from_value(item.value)
+            .map_err(|error| StateError::Rejected(error.to_string()))?;
+        self.book().keep_fate(job.clone(), fate);
+        Ok(Some(fate))
+    }
+
+    pub async fn grant(&self, life: Duration) -> Result<GrantId, StateError> {
+        self.requests.acquire(1.0, Urgency::Fence).await;
+        let result = self.port.grant(life).await;
+        self.note(&result);
+        result
+    }
+
+    pub async fn renew(&self, grant: GrantId) -> Result<(), StateError> {
+        self.requests.acquire(1.0, Urgency::Fence).await;
+        let result = self.port.renew(grant).await;
+        self.note(&result);
+        result
+    }
+
+    /// A read of everything that begins after this call; true when the book
+    /// then holds all that was committed before it. Callers share reads.
+    pub async fn fresh(&self) -> bool {
+        if !self.is_loaded() || !self.is_reachable() {
+            return false;
+        }
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut waiting = lock(&self.fresh_waiting);
+            if waiting.len() >= FRESH_WAITING {
+                return false;
+            }
+            waiting.push(sender);
+        }
+        self.fresh_asked.notify_one();
+        receiver.await.unwrap_or(false)
+    }
+
+    /// Duty: answers the callers of [`Store::fresh`], many with one read.
+    pub async fn serve_fresh(&self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            tokio::select! {
+                _ = stop.cancelled() => return,
+                _ = self.fresh_asked.notified() => {}
+            }
+            let waiting = std::mem::take(&mut *lock(&self.fresh_waiting));
+            if waiting.is_empty() {
+                continue;
+            }
+            let fresh = self.read_on(Duration::ZERO).await.is_ok();
+            for sender in waiting {
+                let _ = sender.send(fresh);
+            }
+            tokio::time::sleep(FRESH_GAP).await;
+        }
+    }
+
+    /// Duty: keeps the book up to date.
+    pub async fn follow(&self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let step = async {
+                if !self.is_loaded() {
+                    self.load().await
+                } else {
+                    self.read_on(HOLD).await
+                }
+            };
+            let result = tokio::select! {
+                _ = stop.cancelled() => return,
+                result = step => result,
+            };
+            match result {
+                Ok(()) => tokio::time::sleep(WATCH_GAP).await,
+                Err(StateError::TooOld) => {
+                    tracing::info!("the watch has a gap; reading everything again");
+                    self.loaded.store(false, Ordering::Relaxed);
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "watch failed");
+                    let pause = rand::random_range(150..300);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                }
+            }
+        }
+    }
+
+    async fn read_on(&self, hold: Duration) -> Result<(), StateError> {
+        self.requests.acquire(1.0, Urgency::User).await;
+        let started = Instant::now();
+        let from = self.book().revision;
+        let result = self.port.follow(from, hold).await;
+        self.note(&result);
+        let (revision, events) = result?;
+        self.saw(revision);
+        let any = !events.is_empty();
+        {
+            let mut book = self.book();
+            // The book may have been read anew meanwhile; older events do no
+            // harm, but a gap would.
+            if book.revision < from {
+                return Err(StateError::TooOld);
+            }
+            apply(&mut book, events);
+            book.advance(revision);
+        }
+        // A held watch answers late; what it tells is as new as its answer, but
+        // only its start is certain.
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = (*confirmed).max(Some(started));
+        drop(confirmed);
+        if any {
+            self.touch();
+        }
+        Ok(())
+    }
+
+    /// Reads the whole live set: at start, and after a gap.
+    async fn load(&self) -> Result<(), StateError> {
+        let started = Instant::now();
+        let mut first: Option<Revision> = None;
+        let mut items = Vec::new();
+        for prefix in keys::LIVE {
+            let mut after: Option<String> = None;
+            loop {
+                self.requests.acquire(1.0, Urgency::User).await;
+                let result = self.port.range(prefix, after.as_deref()).await;
+                self.note(&result);
+                let page = result?;
+                first = Some(first.unwrap_or(page.revision));
+                after = page.items.last().map(|item| item.key.clone());
+                items.extend(page.items);
+                if !page.more || after.is_none() {
+                    break;
+                }
+            }
+        }
+        let mut fresh = Book::default();
+        for item in items {
+            fresh.set(&item.key, item.value, item.mark);
+        }
+        // Pages were read one after another: everything since the first page
+        // comes again from the watch.
+        fresh.advance(first.unwrap_or_default());
+        let unjudged: HashSet<_> = fresh.jobs.keys().cloned().collect();
+        tracing::info!(
+            jobs = unjudged.len(),
+            machines = fresh.machines.len(),
+            "read the live set"
+        );
+        *self.book() = fresh;
+        *lock(&self.confirmed) = Some(started);
+        // Only now does the book hold our own commits made meanwhile.
+        self.read_on(Duration::ZERO).await?;
+        self.loaded.store(true, Ordering::Relaxed);
+        self.touch();
+        Ok(())
+    }
+}
+
+fn apply(book: &mut Book, events: Vec<Event>) {
+    for event in events {
+        match event {
+            Event::Set(item) => book.set(&item.key, item.value, item.mark),
+            Event::Drop { key, mark } => book.drop_key(&key, mark),
+        }
+    }
+}
--- /dev/null
+++ b/src/storage/ids.rs
@@ -0,0 +1,187 @@
+//! Newtypes for the names and numbers that must not be mixed up.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            pub fn new(name: impl Into<Arc<str>>) -> Self {
+                Self(name.into())
+            }
+
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+macro_rules! number_type {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A user's job.
+    JobId
+);
+name_type!(
+    /// A rented machine, as the cloud names it.
+    MachineId
+);
+name_type!(
+    /// A controller.
+    NodeName
+);
+name_type!(
+    /// A team with a guarantee and a limit.
+    TeamName
+);
+name_type!(
+    /// A class of jobs that the aims speak of.
+    ClassName
+);
+name_type!(
+    /// A machine type of the cloud's catalog.
+    TypeName
+);
+name_type!(
+    /// A zone.
+    ZoneName
+);
+name_type!(
+    /// A task's image.
+    ImageName
+);
+name_type!(
+    /// The name of a rental request; never used twice.
+    RentName
+);
+
+number_type!(
+    /// A change of the state service.
+    Revision
+);
+number_type!(
+    /// Who may command a machine: the revision of its block's record.
+    Token
+);
+number_type!(
+    /// The how-manieth time a task is placed; only rises.
+    Attempt
+);
+number_type!(
+    /// A worker's session; rises whenever its lease expires.
+    Session
+);
+number_type!(
+    /// One process of a controller; a restart is another one.
+    Incarnation
+);
+
+impl From<Revision> for Token {
+    fn from(revision: Revision) -> Self {
+        Token(revision.0)
+    }
+}
+
+impl JobId {
+    /// Job ids are `job-` and digits. Anything else is nobody's job, and could
+    /// also break out of the key scheme.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix("job-")?;
+        ((1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit()))
+            .then(|| Self::new(text))
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn new(job: JobId, index: u32) -> Self {
+        Self { job, index }
+    }
+
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.split_once('/')?;
+        Some(Self::new(JobId::parse(job)?, index.parse().ok()?))
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl fmt::Debug for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn job_ids_have_one_form() {
+        assert!(JobId::parse("job-000412").is_some());
+        for bad in [
+            "", "job-", "job-12a", "job-1/2", "jobs-1", "job-1 ", "job--1",
+        ] {
+            assert!(JobId::parse(bad).is_none(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn task_ids_read_back() {
+        let task = TaskId::parse("job-7/13").expect("a task");
+        assert_eq!(task.to_string(), "job-7/13");
+        assert!(TaskId::parse("job-7").is_none());
+        assert!(TaskId::parse("job-7/x").is_none());
+    }
+}
--- /dev/null
+++ b/src/storage/keys.rs
@@ -0,0 +1,121 @@
+//! The key scheme. `docs/PROTOCOL-NOTES.md` tells what each key means.
+
+use super::ids::*;
+
+pub const SPEC: &str = "spec/";
+pub const FATE: &str = "fate/";
+pub const RUN: &str = "run/";
+pub const DRAIN: &str = "drain/";
+pub const BLOCK: &str = "block/";
+pub const MACHINE: &str = "machine/";
+pub const RENT: &str = "rent/";
+pub const NODE: &str = "node/";
+pub const LEADER: &str = "leader";
+pub const CATALOG: &str = "catalog";
+
+/// The live set, read at start and after a gap in the watch. Fates are not in
+/// it: they are kept for good and looked up one by one.
+pub const LIVE: &[&str] = &[
+    SPEC, RUN, DRAIN, BLOCK, MACHINE, RENT, NODE, LEADER, CATALOG,
+];
+
+/// Tasks in one run record. An entry takes up to about 50 bytes, so that a full
+/// record stays under 4 KiB, which the settings are checked for.
+pub const CHUNK: u32 = 72;
+
+pub fn spec(job: &JobId) -> String {
+    format!("{SPEC}{job}")
+}
+
+pub fn fate(job: &JobId) -> String {
+    format!("{FATE}{job}")
+}
+
+pub fn drain(job: &JobId) -> String {
+    format!("{DRAIN}{job}")
+}
+
+pub fn run(job: &JobId, chunk: u32) -> String {
+    format!("{RUN}{job}/{chunk}")
+}
+
+pub fn block(node: &NodeName) -> String {
+    format!("{BLOCK}{node}")
+}
+
+pub fn machine(machine: &MachineId) -> String {
+    format!("{MACHINE}{machine}")
+}
+
+pub fn rent(rent: &RentName) -> String {
+    format!("{RENT}{rent}")
+}
+
+pub fn node(node: &NodeName) -> String {
+    format!("{NODE}{node}")
+}
+
+/// A key taken apart.
+#[derive(Debug, PartialEq)]
+pub enum Key {
+    Spec(JobId),
+    Fate(JobId),
+    Drain(JobId),
+    Run(JobId, u32),
+    Block(NodeName),
+    Machine(MachineId),
+    Rent(RentName),
+    Node(NodeName),
+    Leader,
+    Catalog,
+}
+
+impl Key {
+    pub fn parse(key: &str) -> Option<Key> {
+        if let Some(rest) = key.strip_prefix(RUN) {
+            let (job, chunk) = rest.split_once('/')?;
+            return Some(Key::Run(JobId::parse(job)?, chunk.parse().ok()?));
+        }
+        if let Some(rest) = key.strip_prefix(SPEC) {
+            return JobId::parse(rest).map(Key::Spec);
+        }
+        if let Some(rest) = key.strip_prefix(FATE) {
+            return JobId::parse(rest).map(Key::Fate);
+        }
+        if let Some(rest) = key.strip_prefix(DRAIN) {
+            return JobId::parse(rest).map(Key::Drain);
+        }
+        if let Some(rest) = key.strip_prefix(BLOCK) {
+            return Some(Key::Block(NodeName::new(rest)));
+        }
+        if let Some(rest) = key.strip_prefix(MACHINE) {
+            return Some(Key::Machine(MachineId::new(rest)));
+        }
+        if let Some(rest) = key.strip_prefix(RENT) {
+            return Some(Key::Rent(RentName::new(rest)));
+        }
+        if let Some(rest) = key.strip_prefix(NODE) {
+            return Some(Key::Node(NodeName::new(rest)));
+        }
+        match key {
+            LEADER => Some(Key::Leader),
+            CATALOG => Some(Key::Catalog),
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_read_back() {
+        let job = JobId::new("job-000001");
+        assert_eq!(Key::parse(&spec(&job)), Some(Key::Spec(job.clone())));
+        assert_eq!(Key::parse(&run(&job, 12)), Some(Key::Run(job.clone(), 12)));
+        assert_eq!(Key::parse(&fate(&job)), Some(Key::Fate(job.clone())));
+        assert_eq!(Key::parse(&drain(&job)), Some(Key::Drain(job)));
+        assert_eq!(Key::parse("something/else"), None);
+    }
+}
--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,15 @@
+//! Bookkeeping: ids, the job model, the key scheme, the replica of the state
+//! service's live set, and the client that reads and writes it.
+
+pub mod book;
+pub mod budget;
+pub mod client;
+pub mod ids;
+pub mod keys;
+pub mod model;
+pub mod records;
+
+pub use book::Book;
+pub use client::{CommitError, StateError, StatePort, Store, Transaction};
+pub use ids::*;
+pub use model::*;
--- /dev/null
+++ b/src/storage/model.rs
@@ -0,0 +1,225 @@
+//! What is asked for: jobs, resources, machine types, teams.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+use super::ids::*;
+
+/// Amounts are decimal numbers on the wire; sums of them are compared with this slack.
+pub const AMOUNT_SLACK: f64 = 1e-6;
+
+/// What a task takes, or what a machine or a team has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+}
+
+impl Resources {
+    pub fn fits_in(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus + AMOUNT_SLACK
+            && self.gpus <= room.gpus + AMOUNT_SLACK
+            && self.memory <= room.memory + AMOUNT_SLACK
+    }
+
+    pub fn times(&self, n: f64) -> Resources {
+        Resources {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory: self.memory * n,
+        }
+    }
+
+    /// How many of `self` fit into `room` side by side.
+    pub fn count_in(&self, room: &Resources) -> u32 {
+        let part = |have: f64, want: f64| {
+            if want <= AMOUNT_SLACK {
+                u32::MAX as f64
+            } else {
+                ((have + AMOUNT_SLACK) / want).floor().max(0.0)
+            }
+        };
+        part(room.cpus, self.cpus)
+            .min(part(room.gpus, self.gpus))
+            .min(part(room.memory, self.memory)) as u32
+    }
+}
+
+impl std::ops::AddAssign for Resources {
+    fn add_assign(&mut self, other: Self) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory += other.memory;
+    }
+}
+
+impl std::ops::SubAssign for Resources {
+    fn sub_assign(&mut self, other: Self) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory -= other.memory;
+    }
+}
+
+/// A share of a team's limit. Memory is not limited per team.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    #[serde(rename = "c")]
+    pub cpus: f64,
+    #[serde(rename = "g", default)]
+    pub gpus: f64,
+}
+
+impl Quota {
+    pub fn covers(&self, used: &Quota) -> bool {
+        used.cpus <= self.cpus + AMOUNT_SLACK && used.gpus <= self.gpus + AMOUNT_SLACK
+    }
+
+    pub fn max(&self, other: &Quota) -> Quota {
+        Quota {
+            cpus: self.cpus.max(other.cpus),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
+    pub fn plus(&self, other: &Quota) -> Quota {
+        Quota {
+            cpus: self.cpus + other.cpus,
+            gpus: self.gpus + other.gpus,
+        }
+    }
+
+    pub fn minus(&self, other: &Quota) -> Quota {
+        Quota {
+            cpus: self.cpus - other.cpus,
+            gpus: self.gpus - other.gpus,
+        }
+    }
+
+    pub fn at_least_zero(&self) -> Quota {
+        self.max(&Quota::default())
+    }
+
+    pub fn of(resources: &Resources) -> Quota {
+        Quota {
+            cpus: resources.cpus,
+            gpus: resources.gpus,
+        }
+    }
+
+    pub fn times(&self, n: f64) -> Quota {
+        Quota {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobKind {
+    /// Independent tasks, each running to completion.
+    Array,
+    /// All tasks at once; placed whole.
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    Service,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    BestEffort,
+    Normal,
+    Urgent,
+    Production,
+}
+
+/// An accepted job, as it is kept in the state service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub class: ClassName,
+    pub team: TeamName,
+    pub kind: JobKind,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub per_task: Resources,
+    pub image: ImageName,
+    pub image_gb: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<TypeName>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneName>,
+    #[serde(default)]
+    pub one_zone: bool,
+    #[serde(default)]
+    pub spread: bool,
+    #[serde(default)]
+    pub spot: bool,
+    pub estimate: Duration,
+    pub checkpoint: Duration,
+    pub save: Duration,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline: Option<Duration>,
+    /// Milliseconds of the time of day at the controller that accepted it.
+    pub accepted_ms: u64,
+}
+
+impl JobSpec {
+    pub fn allows_type(&self, name: &TypeName) -> bool {
+        self.types.as_ref().is_none_or(|types| types.contains(name))
+    }
+
+    pub fn allows_zone(&self, name: &ZoneName) -> bool {
+        self.zone.as_ref().is_none_or(|zone| zone == name)
+    }
+
+    pub fn age(&self, now: SystemTime) -> Duration {
+        now.duration_since(UNIX_EPOCH + Duration::from_millis(self.accepted_ms))
+            .unwrap_or_default()
+    }
+
+    /// At most half of the tasks, rounded up, may be in one zone when `spread` is set.
+    pub fn zone_limit(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+}
+
+/// How a job ended. Written once and never changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Fate {
+    Done,
+    Cancelled,
+}
+
+/// A machine type of the catalog.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub name: TypeName,
+    pub size: Resources,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot: Duration,
+    pub zones: Vec<ZoneName>,
+}
+
+impl MachineType {
+    pub fn rate(&self, spot: bool) -> f64 {
+        if spot { self.spot_price } else { self.price }
+    }
+}
+
+/// What a team is guaranteed and what it may use at most.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    pub name: TeamName,
+    pub guaranteed: Quota,
+    pub limit: Quota,
+}
--- /dev/null
+++ b/src/storage/records.rs
@@ -0,0 +1,210 @@
+//! The records behind the keys, as JSON values of the state service.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ids::*, model::*};
+
+/// Where a task is, or may be: it counts until it is proven gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    #[serde(rename = "a")]
+    pub attempt: Attempt,
+    #[serde(rename = "m")]
+    pub machine: MachineId,
+    #[serde(rename = "s")]
+    pub session: Session,
+}
+
+/// The tasks of one stride range of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Placed tasks.
+    #[serde(rename = "p", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub placed: BTreeMap<u32, Placement>,
+    /// Unplaced tasks that were placed before, with their last attempt.
+    #[serde(rename = "w", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub before: BTreeMap<u32, Attempt>,
+    /// Completed tasks, as inclusive ranges in order.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
+}
+
+impl RunRecord {
+    pub fn is_done(&self, task: u32) -> bool {
+        self.done
+            .iter()
+            .any(|(from, to)| (*from..=*to).contains(&task))
+    }
+
+    pub fn done_count(&self) -> u32 {
+        self.done.iter().map(|(from, to)| to - from + 1).sum()
+    }
+
+    /// The attempt that the next placement of this task takes.
+    pub fn next_attempt(&self, task: u32) -> Attempt {
+        let last = self
+            .placed
+            .get(&task)
+            .map(|placement| placement.attempt)
+            .or_else(|| self.before.get(&task).copied());
+        Attempt(last.map_or(1, |attempt| attempt.0 + 1))
+    }
+
+    pub fn place(&mut self, task: u32, machine: MachineId, session: Session) -> Attempt {
+        let attempt = self.next_attempt(task);
+        self.before.remove(&task);
+        self.placed.insert(
+            task,
+            Placement {
+                attempt,
+                machine,
+                session,
+            },
+        );
+        attempt
+    }
+
+    /// The task is proven gone from its machine and waits again.
+    pub fn unplace(&mut self, task: u32) {
+        if let Some(placement) = self.placed.remove(&task) {
+            self.before.insert(task, placement.attempt);
+        }
+    }
+
+    pub fn complete(&mut self, task: u32) {
+        self.placed.remove(&task);
+        self.before.remove(&task);
+        if self.is_done(task) {
+            return;
+        }
+        let at = self.done.partition_point(|(from, _)| *from < task);
+        self.done.insert(at, (task, task));
+        let mut merged: Vec<(u32, u32)> = Vec::with_capacity(self.done.len());
+        for (from, to) in self.done.drain(..) {
+            match merged.last_mut() {
+                Some(last) if last.1 + 1 == from => last.1 = to,
+                _ => merged.push((from, to)),
+            }
+        }
+        self.done = merged;
+    }
+}
+
+/// How a block's holder may use a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MachineUse {
+    /// Takes any task.
+    #[serde(rename = "o")]
+    Open,
+    /// Marked to be given back: takes only tasks ending within its paid period.
+    #[serde(rename = "m")]
+    Marked,
+    /// Takes nothing more: to be moved or returned.
+    #[serde(rename = "f")]
+    Frozen,
+}
+
+/// What one controller holds. Its revision is the token of all its machines.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlockRecord {
+    /// The process that holds it, or nobody.
+    pub holder: Option<Incarnation>,
+    pub machines: BTreeMap<MachineId, MachineUse>,
+    pub budgets: BTreeMap<TeamName, Quota>,
+}
+
+/// A machine that is ours to pay for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    #[serde(rename = "t")]
+    pub kind: TypeName,
+    #[serde(rename = "z")]
+    pub zone: ZoneName,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// Time of day of the rental, in milliseconds.
+    #[serde(rename = "at")]
+    pub rented_ms: u64,
+    /// Where its worker listens; known once it has reported.
+    #[serde(rename = "addr", default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<String>,
+}
+
+/// A rental request, written before it is sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RentRecord {
+    #[serde(rename = "t")]
+    pub kind: TypeName,
+    #[serde(rename = "z")]
+    pub zone: ZoneName,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    #[serde(rename = "n")]
+    pub count: u32,
+    #[serde(rename = "at")]
+    pub at_ms: u64,
+}
+
+/// A living controller; the key goes with its grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    pub incarnation: Incarnation,
+    pub zone: ZoneName,
+}
+
+/// The leader; the key goes with its grant. Its revision fences all it writes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: NodeName,
+    pub incarnation: Incarnation,
+}
+
+/// The end of a job, with what a user may still ask about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FateRecord {
+    pub fate: Fate,
+    /// Tasks done, for display.
+    pub done: u32,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CatalogRecord {
+    pub types: Vec<MachineType>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn attempts_only_rise() {
+        let mut run = RunRecord::default();
+        let machine = MachineId::new("vm-1");
+        assert_eq!(run.place(3, machine.clone(), Session(1)), Attempt(1));
+        run.unplace(3);
+        assert_eq!(run.place(3, machine, Session(1)), Attempt(2));
+    }
+
+    #[test]
+    fn done_ranges_merge_whatever_the_order() {
+        let mut run = RunRecord::default();
+        for task in [5, 3, 4, 9, 0, 4] {
+            run.complete(task);
+        }
+        assert_eq!(run.done, vec![(0, 0), (3, 5), (9, 9)]);
+        assert_eq!(run.done_count(), 5);
+        assert!(run.is_done(4) && !run.is_done(6));
+    }
+
+    #[test]
+    fn a_full_record_keeps_within_its_size() {
+        let mut run = RunRecord::default();
+        for task in 99_900..99_900 + super::super::keys::CHUNK {
+            run.place(task, MachineId::new("vm-000231999"), Session(99));
+        }
+        let text = serde_json::to_string(&run).expect("plain data");
+        assert!(text.len() < 4096, "{}", text.len());
+    }
+}
--- /dev/null
+++ b/src/transport/links.rs
@@ -0,0 +1,136 @@
+//! Links between controllers: length-framed messages over TCP, one question and
+//! one answer at a time on a connection.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::{
+    codec::{Framed, LengthDelimitedCodec},
+    sync::CancellationToken,
+};
+
+use super::network::SendError;
+use crate::{
+    coordination::Node,
+    protocol::peers::{self, FRAME_LIMIT},
+};
+
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
+const IDLE_LINKS: usize = 4;
+const LINKS_IN: usize = 64;
+const IDLE: Duration = Duration::from_secs(30);
+
+fn framed(stream: TcpStream) -> Link {
+    // Small messages that somebody waits for.
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_LIMIT)
+        .new_framed(stream)
+}
+
+/// Idle links by address.
+#[derive(Default)]
+pub struct LinkPool(Mutex<HashMap<String, Vec<Link>>>);
+
+impl LinkPool {
+    fn take(&self, address: &str) -> Option<Link> {
+        let mut pool = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        pool.get_mut(address)?.pop()
+    }
+
+    fn put(&self, address: &str, link: Link) {
+        let mut pool = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        let idle = pool.entry(address.to_owned()).or_default();
+        if idle.len() < IDLE_LINKS {
+            idle.push(link);
+        }
+    }
+
+    pub async fn exchange(&self, address: &str, frame: Vec<u8>) -> Result<Vec<u8>, SendError> {
+        let frame = Bytes::from(frame);
+        // A kept link may have been closed meanwhile, by a restart for example;
+        // then one more try on a new one.
+        while let Some(mut link) = self.take(address) {
+            if let Ok(answer) = ask(&mut link, frame.clone()).await {
+                self.put(address, link);
+                return Ok(answer);
+            }
+        }
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let mut link = framed(stream);
+        let answer = ask(&mut link, frame)
+            .await
+            .map_err(|error| SendError::NoAnswer(error.to_string()))?;
+        self.put(address, link);
+        Ok(answer)
+    }
+}
+
+async fn ask(link: &mut Link, frame: Bytes) -> io::Result<Vec<u8>> {
+    link.send(frame).await?;
+    match link.next().await {
+        Some(answer) => Ok(answer?.to_vec()),
+        None => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+/// Serves the peers' links until told to stop.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
+    let places = Arc::new(Semaphore::new(LINKS_IN));
+    loop {
+        let accepted = tokio::select! {
+            _ = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            continue;
+        };
+        let (node, stop) = (node.clone(), stop.clone());
+        tokio::spawn(async move {
+            let _place = place;
+            tokio::select! {
+                _ = stop.cancelled() => {}
+                _ = serve_link(&node, framed(stream)) => {}
+            }
+        });
+    }
+}
+
+async fn serve_link(node: &Arc<Node>, mut link: Link) {
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE, link.next()).await {
+        let Some(answer) = answer(node, &frame).await else {
+            return;
+        };
+        if link.send(Bytes::from(answer)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers a peer's message; none if it is not one.
+pub async fn answer(node: &Arc<Node>, frame: &[u8]) -> Option<Vec<u8>> {
+    match peers::read_call(frame) {
+        Ok(call) => peers::write_answer(node.answer_peer(call).await).ok(),
+        Err(error) => {
+            tracing::debug!(%error, "a peer's message is passed over");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/ports.rs
@@ -0,0 +1,407 @@
+//! The coordination layer's ports, over a [`Network`] and the wire's words.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::future::{BoxFuture, FutureExt};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::network::{Call, Method, Network, Reply, SendError};
+use crate::{
+    coordination::ports::*,
+    protocol::{cloud, peers, state, workers},
+    storage::{
+        client::{Event, GrantId, Item, Page},
+        *,
+    },
+};
+
+type Net = Arc<dyn Network>;
+
+const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
+const WORKER_TIMEOUT: Duration = Duration::from_millis(1500);
+const INSPECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CLOUD_TIMEOUT: Duration = Duration::from_secs(6);
+const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
+
+fn body(message: &impl Serialize) -> Bytes {
+    // Messages are plain data with string keys; they always serialise.
+    serde_json::to_vec(message).unwrap_or_default().into()
+}
+
+fn parse<T: DeserializeOwned>(reply: &Reply) -> Result<T, String> {
+    serde_json::from_slice(&reply.body).map_err(|error| error.to_string())
+}
+
+pub struct HttpState {
+    pub net: Net,
+    pub address: String,
+}
+
+impl HttpState {
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Reply, StateError> {
+        let call = Call {
+            address: self.address.clone(),
+            method,
+            path,
+            body,
+            timeout,
+        };
+        match self.net.http(call).await {
+            Ok(reply) => match reply.status {
+                429 => Err(StateError::Throttled),
+                503 => Err(StateError::Unavailable),
+                // Nobody says what these mean for what was asked.
+                500.. => Err(StateError::NoAnswer),
+                _ => Ok(reply),
+            },
+            Err(SendError::NotSent(_)) => Err(StateError::Unavailable),
+            Err(SendError::NoAnswer(_)) => Err(StateError::NoAnswer),
+        }
+    }
+
+    fn rejected(reply: &Reply) -> StateError {
+        let error = parse::<state::Rejection>(reply).map_or_else(
+            |_| format!("status {}", reply.status),
+            |rejection| rejection.error,
+        );
+        if error == "no such lease" {
+            StateError::NoGrant
+        } else {
+            StateError::Rejected(error)
+        }
+    }
+
+    fn read<T: DeserializeOwned>(reply: &Reply) -> Result<T, StateError> {
+        if reply.status != 200 {
+            return Err(Self::rejected(reply));
+        }
+        parse(reply).map_err(StateError::Rejected)
+    }
+}
+
+impl StatePort for HttpState {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Item>, StateError>> {
+        async move {
+            let path = format!("/kv/{key}");
+            let reply = self
+                .call(Method::Get, path, Bytes::new(), STATE_TIMEOUT)
+                .await?;
+            if reply.status == 404 {
+                return Ok(None);
+            }
+            Self::read::<state::Entry>(&reply).map(|entry| Some(entry.into()))
+        }
+        .boxed()
+    }
+
+    fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+    ) -> BoxFuture<'a, Result<Page, StateError>> {
+        async move {
+            let mut path = format!("/kv?starts={prefix}&most=500");
+            if let Some(after) = after {
+                path.push_str("&from=");
+                path.push_str(after);
+            }
+            let reply = self
+                .call(Method::Get, path, Bytes::new(), STATE_TIMEOUT * 2)
+                .await?;
+            Self::read::<state::Entries>(&reply).map(Page::from)
+        }
+        .boxed()
+    }
+
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> BoxFuture<'a, Result<Revision, CommitError>> {
+        async move {
+            let message = state::Commit::from(transaction);
+            let reply = self
+                .call(
+                    Method::Post,
+                    "/commit".into(),
+                    body(&message),
+                    STATE_TIMEOUT,
+                )
+                .await?;
+            if reply.status == 409 {
+                let failed = parse::<state::Failed>(&reply).map_err(StateError::Rejected)?;
+                return Err(CommitError::Conflict(failed.failed));
+            }
+            let committed = Self::read::<state::Committed>(&reply)?;
+            Ok(Revision(committed.ledger))
+        }
+        .boxed()
+    }
+
+    fn grant(&self, life: Duration) -> BoxFuture<'_, Result<GrantId, StateError>> {
+        async move {
+            let message = state::Life {
+                life_ms: life.as_millis() as u64,
+            };
+            let reply = self
+                .call(
+                    Method::Post,
+                    "/grants".into(),
+                    body(&message),
+                    STATE_TIMEOUT,
+                )
+                .await?;
+            Self::read::<state::Tether>(&reply).map(|tether| GrantId(tether.tether))
+        }
+        .boxed()
+    }
+
+    fn renew(&self, grant: GrantId) -> BoxFuture<'_, Result<(), StateError>> {
+        async move {
+            let path = format!("/grants/{}/touch", grant.0);
+            let reply = self
+                .call(Method::Post, path, Bytes::new(), STATE_TIMEOUT)
+                .await?;
+            match reply.status {
+                200 => Ok(()),
+                404 => Err(StateError::NoGrant),
+                _ => Err(Self::rejected(&reply)),
+            }
+        }
+        .boxed()
+    }
+
+    fn follow(
+        &self,
+        from: Revision,
+        hold: Duration,
+    ) -> BoxFuture<'_, Result<(Revision, Vec<Event>), StateError>> {
+        async move {
+            let path = format!("/follow?starts=&from={from}&hold_ms={}", hold.as_millis());
+            let reply = self
+                .call(Method::Get, path, Bytes::new(), hold + STATE_TIMEOUT)
+                .await?;
+            if reply.status == 410 {
+                return Err(StateError::TooOld);
+            }
+            let events = Self::read::<state::Events>(&reply)?;
+            Ok((
+                Revision(events.ledger),
+                events.events.into_iter().map(Event::from).collect(),
+            ))
+        }
+        .boxed()
+    }
+}
+
+pub struct HttpWorkers {
+    pub net: Net,
+}
+
+fn report(reply: &Reply) -> Result<Report, NoAnswer> {
+    parse::<workers::Hello>(reply)
+        .ok()
+        .and_then(workers::Hello::into_report)
+        .ok_or_else(|| NoAnswer(format!("status {} without a report", reply.status)))
+}
+
+impl WorkerPort for HttpWorkers {
+    fn orders<'a>(
+        &'a self,
+        address: &'a str,
+        token: Token,
+        session: Session,
+        commands: &'a [Command],
+    ) -> BoxFuture<'a, Result<OrdersAnswer, NoAnswer>> {
+        async move {
+            let message = workers::Orders {
+                bridle: token.0,
+                tenure: session.0,
+                calls: commands.iter().map(workers::Call::from).collect(),
+            };
+            let call = Call {
+                address: address.to_owned(),
+                method: Method::Post,
+                path: "/orders".into(),
+                body: body(&message),
+                timeout: WORKER_TIMEOUT,
+            };
+            let reply = self
+                .net
+                .http(call)
+                .await
+                .map_err(|error| NoAnswer(error.to_string()))?;
+            Ok(OrdersAnswer {
+                executed: reply.status == 200,
+                report: report(&reply)?,
+            })
+        }
+        .boxed()
+    }
+
+    fn inspect<'a>(&'a self, address: &'a str) -> BoxFuture<'a, Result<Report, NoAnswer>> {
+        async move {
+            let call = Call {
+                address: address.to_owned(),
+                method: Method::Get,
+                path: "/inspect".into(),
+                body: Bytes::new(),
+                timeout: INSPECT_TIMEOUT,
+            };
+            let reply = self
+                .net
+                .http(call)
+                .await
+                .map_err(|error| NoAnswer(error.to_string()))?;
+            report(&reply)
+        }
+        .boxed()
+    }
+}
+
+pub struct HttpCloud {
+    pub net: Net,
+    pub address: String,
+}
+
+/// Pages of the machine list read at most.
+const LIST_PAGES: usize = 20;
+
+impl HttpCloud {
+    async fn call(&self, method: Method, path: String, body: Bytes) -> Result<Reply, CloudError> {
+        let call = Call {
+            address: self.address.clone(),
+            method,
+            path,
+            body,
+            timeout: CLOUD_TIMEOUT,
+        };
+        let reply = self.net.http(call).await.map_err(|error| match error {
+            SendError::NotSent(_) => CloudError::Unavailable,
+            SendError::NoAnswer(_) => CloudError::NoAnswer,
+        })?;
+        match reply.status {
+            200 => Ok(reply),
+            503 => match parse::<cloud::Trouble>(&reply) {
+                Ok(trouble) if trouble.error == "no capacity" => Err(CloudError::NoCapacity),
+                _ => Err(CloudError::Unavailable),
+            },
+            429 => Err(CloudError::Unavailable),
+            400..500 => Err(CloudError::Rejected(
+                String::from_utf8_lossy(&reply.body[..reply.body.len().min(200)]).into_owned(),
+            )),
+            _ => Err(CloudError::NoAnswer),
+        }
+    }
+}
+
+fn cloud_reply<T: DeserializeOwned>(reply: &Reply) -> Result<T, CloudError> {
+    parse(reply).map_err(CloudError::Rejected)
+}
+
+impl CloudPort for HttpCloud {
+    fn catalog(&self) -> BoxFuture<'_, Result<Vec<MachineType>, CloudError>> {
+        async move {
+            let reply = self
+                .call(Method::Get, "/catalog".into(), Bytes::new())
+                .await?;
+            Ok(cloud_reply::<cloud::Catalog>(&reply)?
+                .breeds
+                .into_iter()
+                .filter_map(cloud::Breed::into_type)
+                .collect())
+        }
+        .boxed()
+    }
+
+    fn rent<'a>(
+        &'a self,
+        name: &'a RentName,
+        wanted: &'a Wanted,
+    ) -> BoxFuture<'a, Result<Vec<MachineId>, CloudError>> {
+        async move {
+            let message = cloud::Hire {
+                hire: name.to_string(),
+                breed: wanted.kind.to_string(),
+                paddock: wanted.zone.to_string(),
+                loaners: wanted.spot,
+                number: wanted.count,
+            };
+            let reply = self
+                .call(Method::Post, "/machines".into(), body(&message))
+                .await?;
+            let mounts = cloud_reply::<cloud::Mounts>(&reply)?.mounts;
+            Ok(mounts.into_iter().map(MachineId::new).collect())
+        }
+        .boxed()
+    }
+
+    fn give_back<'a>(&'a self, machines: &'a [MachineId]) -> BoxFuture<'a, Result<(), CloudError>> {
+        async move {
+            let message = cloud::Mounts {
+                mounts: machines.iter().map(ToString::to_string).collect(),
+            };
+            self.call(Method::Post, "/machines/return".into(), body(&message))
+                .await
+                .map(drop)
+        }
+        .boxed()
+    }
+
+    fn list(&self) -> BoxFuture<'_, Result<Vec<ListedMachine>, CloudError>> {
+        async move {
+            let mut machines: Vec<ListedMachine> = Vec::new();
+            for _ in 0..LIST_PAGES {
+                let from = machines
+                    .last()
+                    .map(|last| format!("&from={}", last.id))
+                    .unwrap_or_default();
+                let path = format!("/machines?most=500{from}");
+                let reply = self.call(Method::Get, path, Bytes::new()).await?;
+                let page = cloud_reply::<cloud::List>(&reply)?;
+                let more = page.truncated && !page.mounts.is_empty();
+                machines.extend(page.mounts.into_iter().map(cloud::Listed::into_machine));
+                if !more {
+                    break;
+                }
+            }
+            Ok(machines)
+        }
+        .boxed()
+    }
+}
+
+pub struct LinkPeers {
+    pub net: Net,
+    pub addresses: HashMap<NodeName, String>,
+}
+
+impl PeerPort for LinkPeers {
+    fn call<'a>(
+        &'a self,
+        node: &'a NodeName,
+        call: PeerCall,
+    ) -> BoxFuture<'a, Result<PeerAnswer, NoAnswer>> {
+        async move {
+            let no_answer = |error: String| NoAnswer(error);
+            let address = self
+                .addresses
+                .get(node)
+                .ok_or_else(|| no_answer("not a peer".into()))?;
+            let frame = peers::write_call(call).map_err(|error| no_answer(error.to_string()))?;
+            let answer = self
+                .net
+                .frame(address, frame, PEER_TIMEOUT)
+                .await
+                .map_err(|error| no_answer(error.to_string()))?;
+            peers::read_answer(&answer).map_err(|error| no_answer(error.to_string()))
+        }
+        .boxed()
+    }
+}
