Completions within a tenth of the estimate count as equal

Cause: arrays took ordinary machines for the sake of a cached image, and services then found no room.

--- a/src/coordination/policy/placement.rs
+++ b/src/coordination/policy/placement.rs
@@ -38,8 +38,10 @@
     }
 }
 
-/// Completions closer than this are taken as equal; run times are guesses.
-const TOLERANCE: Duration = Duration::from_millis(500);
+/// Completions closer than this are taken as equal. Run times are guesses, and
+/// often wrong by half; a service has none, and each second of its start counts.
+const LEAST_TOLERANCE: Duration = Duration::from_millis(200);
+const TOLERANCE: f64 = 0.1;
 
 pub fn estimate(spec: &JobSpec, slot: &Slot, factor: f64) -> Estimate {
     let fetch = if slot.images.contains(&spec.image) || spec.image_gb <= 0.0 {
@@ -58,14 +60,15 @@
 
 /// The slot for a task: least estimated completion; of equals spot machines
 /// for tasks that may use them (ordinary ones are kept for those that may
-/// not), then the tightest fit, which leaves other machines empty.
+/// not), then the image, then the tightest fit, which leaves other machines empty.
 pub fn choose(
     spec: &JobSpec,
     slots: &[Slot],
     factor: f64,
     mut admits: impl FnMut(&Slot) -> bool,
 ) -> Option<usize> {
-    let mut best: Option<(usize, (u128, bool, f64))> = None;
+    let mut best: Option<(usize, (u128, bool, u128, f64))> = None;
+    let tolerance = spec.estimate.mul_f64(TOLERANCE).max(LEAST_TOLERANCE);
     for (i, slot) in slots.iter().enumerate() {
         if !spec.per_task.fits_in(&slot.room) || !allowed(spec, slot) {
             continue;
@@ -80,15 +83,17 @@
             continue;
         }
         let key = (
-            estimate.completion().as_millis() / TOLERANCE.as_millis(),
+            estimate.completion().as_millis() / tolerance.as_millis(),
             spec.spot && !slot.spot,
+            estimate.fetch.as_millis(),
             slot.room.cpus - spec.per_task.cpus,
         );
         if best.as_ref().is_none_or(|(_, b)| {
             key.0
                 .cmp(&b.0)
                 .then(key.1.cmp(&b.1))
-                .then(key.2.total_cmp(&b.2))
+                .then(key.2.cmp(&b.2))
+                .then(key.3.total_cmp(&b.3))
                 .is_lt()
         }) {
             best = Some((i, key));
