--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -573,7 +573,7 @@
                         }
                         Some(_) => {}
                         None if held.unreachable => {
-                            unreachable += 1;
+                            unreachable += usize::from(!record.spot);
                             if quiet > tuning.silent {
                                 silent.push((id.clone(), address.clone(), quiet, record.spot));
                             }
@@ -599,7 +599,8 @@
         // go on working until their leases end; only spot machines are taken in
         // numbers. They cross the threshold one after the other, so all that
         // cannot be reached count.
-        let many = unreachable > 2.max(book.machines.len() / 5);
+        let ordinary = book.machines.values().filter(|kept| !kept.value.spot);
+        let many = unreachable > 2.max(ordinary.count() / 4);
         let patience = self.config.worker_lease + self.config.worker_report;
         state.fleet.verifying.retain(|_, until| *until > now);
         let mut to_verify = Vec::new();
