--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -5,6 +5,7 @@
     time::{Duration, SystemTime},
 };
 
+use super::policy::giveback::PaidPeriods;
 use crate::storage::*;
 
 /// A class's aim, as far as decisions use it.
@@ -28,7 +29,7 @@
     pub suitability_k: f64,
     pub remedial_theta: f64,
     pub evenness_threshold: f64,
-    pub paid_period: Duration,
+    pub paid: PaidPeriods,
     pub node_lease: Duration,
     pub offer: Duration,
     pub silent: Duration,
@@ -48,7 +49,10 @@
             suitability_k: 0.3,
             remedial_theta: 10.0,
             evenness_threshold: 0.4,
-            paid_period: Duration::from_secs(60),
+            paid: PaidPeriods {
+                first: Duration::from_secs(60),
+                then: Duration::from_secs(10),
+            },
             node_lease: Duration::from_secs(4),
             offer: Duration::from_secs(2),
             silent: Duration::from_secs(8),
--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -12,7 +12,7 @@
 
 use super::{
     node::{Node, lock},
-    policy::{giveback, placement},
+    policy::placement,
     ports::*,
     reports::grace,
     view::{Source, View},
@@ -434,7 +434,7 @@
                 speed: view.speed,
                 images: view.images(),
                 leaves_in: (*usage == MachineUse::Marked)
-                    .then(|| giveback::paid_left(age, self.config.tuning.paid_period)),
+                    .then(|| self.config.tuning.paid.left(age)),
             });
         }
         slots
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -417,7 +417,7 @@
             }
         }
         let misses = stats.misses(&overdue);
-        let machines = used_machines(book, tuning.paid_period, self.config.now_ms());
+        let machines = used_machines(book, tuning.paid, self.config.now_ms());
         let mut pools: BTreeSet<Pool> = queue.keys().cloned().collect();
         pools.extend(misses.shares.keys().cloned());
         let pools: Vec<Pool> = pools.into_iter().collect();
@@ -588,7 +588,7 @@
                 if state.fleet.marked.as_ref() == Some(id)
                     && *usage != MachineUse::Open
                     && idle
-                    && giveback::paid_left(age, tuning.paid_period) < Duration::from_secs(3)
+                    && tuning.paid.left(age) < Duration::from_secs(3)
                 {
                     found.push((id.clone(), Reason::Unneeded));
                 }
@@ -1049,7 +1049,7 @@
 /// Machines that are up, with their utilisation, and whether a service is on them.
 fn used_machines(
     book: &Book,
-    period: Duration,
+    period: giveback::PaidPeriods,
     now_ms: u64,
 ) -> Vec<(giveback::Used<MachineId>, bool)> {
     let kinds: Vec<&MachineType> = book
@@ -1078,7 +1078,7 @@
                 kind: at,
                 utilisation: taken.cpus / size.cpus.max(0.001),
                 power: size.cpus,
-                paid_left: giveback::paid_left(age, period),
+                paid_left: period.left(age),
             };
             Some((used, service))
         })
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -341,7 +341,7 @@
                     &book,
                     &usable,
                     self.config.now_ms(),
-                    self.config.tuning.paid_period,
+                    self.config.tuning.paid,
                 ),
                 offered,
                 failing: &failing,
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -312,7 +312,7 @@
     book: &Book,
     usable: Usable<'_>,
     now_ms: u64,
-    paid_period: Duration,
+    paid: giveback::PaidPeriods,
 ) -> Vec<Open> {
     let mut open = Vec::new();
     for (node, kept) in &book.blocks {
@@ -348,7 +348,7 @@
                     speed,
                     images,
                     leaves_in: (*usage == MachineUse::Marked)
-                        .then(|| giveback::paid_left(age, paid_period)),
+                        .then(|| paid.left(age)),
                 },
             });
         }
--- a/src/coordination/policy/giveback.rs
+++ b/src/coordination/policy/giveback.rs
@@ -66,10 +66,25 @@
     (!mixed || least.utilisation < at.utilisation).then_some(least)
 }
 
-/// What is left of the paid period that is running now.
-pub fn paid_left(age: Duration, period: Duration) -> Duration {
-    let (age, period) = (age.as_millis(), period.as_millis().max(1));
-    Duration::from_millis((period - age % period) as u64)
+/// How machines are paid for: a first period in full, then in shorter ones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaidPeriods {
+    pub first: Duration,
+    pub then: Duration,
+}
+
+impl PaidPeriods {
+    /// What is left of the period that is running at this age.
+    pub fn left(&self, age: Duration) -> Duration {
+        match self.first.checked_sub(age) {
+            Some(left) if !left.is_zero() => left,
+            _ => {
+                let then = self.then.as_millis().max(1);
+                let into = (age - self.first).as_millis() % then;
+                Duration::from_millis((then - into) as u64)
+            }
+        }
+    }
 }
 
 #[cfg(test)]
@@ -124,8 +139,13 @@
 
     #[test]
     fn paid_periods_run_from_the_rental() {
-        let minute = Duration::from_secs(60);
-        assert_eq!(paid_left(Duration::from_secs(70), minute).as_secs(), 50);
-        assert_eq!(paid_left(Duration::ZERO, minute), minute);
+        let paid = PaidPeriods {
+            first: Duration::from_secs(60),
+            then: Duration::from_secs(10),
+        };
+        assert_eq!(paid.left(Duration::ZERO).as_secs(), 60);
+        assert_eq!(paid.left(Duration::from_secs(59)).as_secs(), 1);
+        assert_eq!(paid.left(Duration::from_secs(60)).as_secs(), 10);
+        assert_eq!(paid.left(Duration::from_secs(77)).as_secs(), 3);
     }
 }
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -92,7 +92,12 @@
         span(
             "renting.paid_period_s",
             renting.paid_period_s,
-            &mut tuning.paid_period,
+            &mut tuning.paid.first,
+        )?;
+        span(
+            "renting.paid_step_s",
+            renting.paid_step_s,
+            &mut tuning.paid.then,
         )?;
     }
     if let Some(timing) = operator.timing.as_ref() {
