--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -55,7 +55,7 @@
             },
             node_lease: Duration::from_secs(4),
             offer: Duration::from_secs(2),
-            silent: Duration::from_secs(8),
+            silent: Duration::from_millis(5_500),
         }
     }
 }
--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -412,7 +412,7 @@
             };
             if *usage == MachineUse::Frozen
                 || !view.reported
-                || view.silent(now) > self.config.tuning.silent / 2
+                || view.silent(now) > self.config.worker_report.mul_f64(1.5)
                 || view.unreachable
                 || view.leaves_at.is_some()
                 || view.is_suspect(now)
@@ -825,7 +825,7 @@
                 let book = self.store.book();
                 let now = Instant::now();
                 let mut state = lock(&self.holder);
-                let after = self.config.worker_report.mul_f64(1.4);
+                let after = self.config.worker_report.mul_f64(1.3);
                 state
                     .views
                     .iter_mut()
@@ -833,7 +833,7 @@
                         view.silent(now) > after
                             && view
                                 .probed
-                                .is_none_or(|at| now.duration_since(at) > Duration::from_secs(2))
+                                .is_none_or(|at| now.duration_since(at) > Duration::from_secs(1))
                     })
                     .take(8)
                     .map(|(id, view)| {
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -55,6 +55,13 @@
     }
 }
 
+/// A machine that seems to be gone.
+struct Suspect {
+    machine: MachineId,
+    address: String,
+    neighbours: Vec<String>,
+}
+
 /// Where and what kind of machine.
 type Place = (TypeName, ZoneName, bool);
 
@@ -83,6 +90,8 @@
 const FOUND_UP: Duration = Duration::from_secs(3);
 /// A suspect machine's tasks are left this long to end by themselves.
 const EMPTY_AFTER: Duration = Duration::from_secs(15);
+/// Machines looked at beside a silent one, to tell a hang from a cut.
+const NEIGHBOURS: usize = 6;
 /// Machines rented with one request.
 const PER_REQUEST: u32 = 50;
 /// Machines on their way to another block at a time.
@@ -265,9 +274,9 @@
             self.rebalance(&book, &mut state, now);
             (self.judge_band(&book, &mut state, now), silent)
         };
-        for (machine, address) in silent {
+        for suspect in silent {
             let node = self.clone();
-            tokio::spawn(async move { node.verify_silent(machine, address).await });
+            tokio::spawn(async move { node.verify_silent(suspect).await });
         }
         for (pool, zone, count) in rents {
             let name = {
@@ -496,8 +505,18 @@
     }
 
     /// Every controller looks at a machine that is silent to its holder: only
-    /// one that nobody reaches is returned.
-    async fn verify_silent(&self, machine: MachineId, address: String) {
+    /// one that nobody reaches is returned. If most of its neighbours do not
+    /// answer either, that is a cut which the others have not shown yet, since
+    /// reports come at different times.
+    async fn verify_silent(&self, suspect: Suspect) {
+        let Suspect {
+            machine,
+            address,
+            neighbours,
+        } = suspect;
+        let looks = neighbours
+            .iter()
+            .map(|address| self.workers.inspect(address));
         let others = self.config.peers.iter().map(|(peer, _)| {
             let call = PeerCall::Probe(address.clone());
             async move {
@@ -507,15 +526,18 @@
                 )
             }
         });
-        let (own, others) = futures::future::join(
+        let (own, others, looks) = futures::future::join3(
             self.workers.inspect(&address),
             futures::future::join_all(others),
+            futures::future::join_all(looks),
         )
         .await;
+        let dark = looks.iter().filter(|look| look.is_err()).count();
+        let is_cut = dark * 2 > neighbours.len();
         let now = Instant::now();
         let mut state = lock(&self.leader);
-        if own.is_ok() || others.contains(&true) {
-            tracing::debug!(%machine, "silent to its holder, but others reach it");
+        if own.is_ok() || others.contains(&true) || is_cut {
+            tracing::debug!(%machine, is_cut, "silent to its holder, but not gone");
             state.fleet.verifying.insert(machine, now + FOUND_UP);
             return;
         }
@@ -533,12 +555,7 @@
 
     /// Finds machines that must go back for a reason of their own, and the
     /// marked one whose time has come. Returns those that seem to be gone.
-    fn find_faulty(
-        &self,
-        book: &Book,
-        state: &mut LeaderState,
-        now: Instant,
-    ) -> Vec<(MachineId, String)> {
+    fn find_faulty(&self, book: &Book, state: &mut LeaderState, now: Instant) -> Vec<Suspect> {
         let tuning = &self.config.tuning;
         let now_ms = self.config.now_ms();
         let mut silent = Vec::new();
@@ -614,7 +631,22 @@
                 && !state.fleet.verifying.contains_key(&id)
             {
                 state.fleet.verifying.insert(id.clone(), now + FOUND_UP);
-                to_verify.push((id, address));
+                let zone = book.machines.get(&id).map(|kept| &kept.value.zone);
+                let neighbours = book
+                    .machines
+                    .iter()
+                    .filter(|(other, kept)| {
+                        **other != id && !kept.value.spot && Some(&kept.value.zone) == zone
+                    })
+                    .filter_map(|(_, kept)| kept.value.address.clone())
+                    .filter(|_| !spot && quiet <= patience)
+                    .take(NEIGHBOURS)
+                    .collect();
+                to_verify.push(Suspect {
+                    machine: id,
+                    address,
+                    neighbours,
+                });
             }
         }
         state.stranded = stranded;
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -347,8 +347,7 @@
                     fetch_gb_per_s: kind.fetch_gb_per_s,
                     speed,
                     images,
-                    leaves_in: (*usage == MachineUse::Marked)
-                        .then(|| paid.left(age)),
+                    leaves_in: (*usage == MachineUse::Marked).then(|| paid.left(age)),
                 },
             });
         }
