--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -76,6 +76,8 @@
     last_remedy: Option<Instant>,
     last_catalog: Option<Instant>,
     last_list: Option<Instant>,
+    /// Machines that no task is routed to now.
+    refusing: BTreeSet<MachineId>,
     /// Silent machines being looked at by all controllers, or lately found up.
     verifying: HashMap<MachineId, Instant>,
     unknown: HashMap<MachineId, Instant>,
@@ -90,6 +92,8 @@
 const FOUND_UP: Duration = Duration::from_secs(3);
 /// A suspect machine's tasks are left this long to end by themselves.
 const EMPTY_AFTER: Duration = Duration::from_secs(15);
+/// Replicas of younger jobs are not moved.
+const SETTLED: Duration = Duration::from_secs(45);
 /// Machines looked at beside a silent one, to tell a hang from a cut.
 const NEIGHBOURS: usize = 6;
 /// Machines rented with one request.
@@ -219,6 +223,7 @@
             self.judge_fleet().await;
             self.send_rents(&budget);
             self.empty_suspects().await;
+            self.move_replicas().await;
             self.send_returns(&budget);
             self.poll_list(&budget);
         }
@@ -474,10 +479,13 @@
             .map_or(1, |kept| kept.value.types.len());
         if total == 0 && fleet.marked.is_none() {
             // A replica runs until its job is cancelled, so that a machine with
-            // one never goes empty by itself.
+            // one never goes empty by itself: it is a candidate only if its
+            // replicas have room elsewhere, to where they are moved.
             let candidates: Vec<giveback::Used<MachineId>> = machines
                 .into_iter()
-                .filter(|(_, service)| !service)
+                .filter(|(used, service)| {
+                    !service || self.can_rehouse(book, &used.id, &fleet.refusing)
+                })
                 .map(|(used, _)| used)
                 .collect();
             let marked = giveback::mark(
@@ -559,6 +567,7 @@
         let tuning = &self.config.tuning;
         let now_ms = self.config.now_ms();
         let mut silent = Vec::new();
+        let mut refusing = BTreeSet::new();
         let mut unreachable = 0;
         let mut stranded = BTreeMap::new();
         let mut found: Vec<(MachineId, Reason)> = Vec::new();
@@ -597,6 +606,9 @@
                         }
                         None => {}
                     }
+                    if held.unreachable || held.suspect || held.leaving || quiet > tuning.silent {
+                        refusing.insert(id.clone());
+                    }
                     if held.suspect {
                         found.push((id.clone(), Reason::Suspect));
                     }
@@ -650,6 +662,7 @@
             }
         }
         state.stranded = stranded;
+        state.fleet.refusing = refusing;
         for (id, reason) in found {
             if !state.returning.contains_key(&id) {
                 tracing::info!(machine = %id, ?reason, "to be returned");
@@ -843,6 +856,81 @@
         }
     }
 
+    /// Whether the replicas on a machine would fit on the others.
+    fn can_rehouse(&self, book: &Book, machine: &MachineId, except: &BTreeSet<MachineId>) -> bool {
+        let usable = |_: &NodeName, id: &MachineId| {
+            (id != machine && !except.contains(id)).then(|| (Vec::new(), 1.0))
+        };
+        let mut slots: Vec<placement::Slot> = super::routing::open_machines(
+            book,
+            &usable,
+            self.config.now_ms(),
+            self.config.tuning.paid,
+        )
+        .into_iter()
+        .map(|open| open.slot)
+        .collect();
+        for task in book.on_machine.get(machine).into_iter().flatten() {
+            let Some(spec) = book.jobs.get(&task.0.job).and_then(|job| job.spec()) else {
+                return false;
+            };
+            if spec.kind != JobKind::Service {
+                continue;
+            }
+            let now = (self.config.wall)();
+            if spec.spread && spec.tasks > 1 || spec.one_zone || spec.age(now) < SETTLED {
+                return false;
+            }
+            match placement::choose(spec, &slots, 1.0, |_| true) {
+                Some(at) => slots[at].room -= spec.per_task,
+                None => return false,
+            }
+        }
+        true
+    }
+
+    /// Replicas leave the marked machine once nothing else is on it.
+    async fn move_replicas(&self) {
+        let (node, tasks) = {
+            let book = self.store.book();
+            let state = lock(&self.leader);
+            let Some(id) = state.fleet.marked.clone() else {
+                return;
+            };
+            let Some((node, kept)) = book.block_of(&id) else {
+                return;
+            };
+            let marked = kept.value.machines.get(&id) == Some(&MachineUse::Marked);
+            let tasks: Vec<TaskId> = book
+                .on_machine
+                .get(&id)
+                .into_iter()
+                .flat_map(|tasks| tasks.keys().cloned())
+                .collect();
+            let all_services = tasks.iter().all(|task| {
+                book.jobs
+                    .get(&task.job)
+                    .and_then(|job| job.spec())
+                    .is_some_and(|spec| spec.kind == JobKind::Service)
+            });
+            if !marked
+                || tasks.is_empty()
+                || !all_services
+                || !state.unplaced.is_empty()
+                || !self.can_rehouse(&book, &id, &state.fleet.refusing)
+            {
+                return;
+            }
+            tracing::info!(machine = %id, replicas = tasks.len(), "its replicas move");
+            (node.clone(), tasks)
+        };
+        if node == self.config.node {
+            self.take_preemptions(tasks);
+        } else {
+            let _ = self.peers.call(&node, PeerCall::Preempt(tasks)).await;
+        }
+    }
+
     /// Suspect machines that do not empty by themselves are cleared.
     async fn empty_suspects(&self) {
         let mut orders: BTreeMap<NodeName, Vec<TaskId>> = BTreeMap::new();
