--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -28,6 +28,7 @@
     since: Option<Instant>,
     statuses: HashMap<NodeName, (Instant, Status)>,
     offered: routing::Offered,
+    clearing: routing::Clearing,
     unplaced: Vec<routing::Unplaced>,
     short: BTreeMap<(NodeName, TeamName), Quota>,
     moving: BTreeMap<MachineId, (NodeName, Instant)>,
@@ -308,7 +309,10 @@
             let learning = lock(&self.learning);
             let mut state = lock(&self.leader);
             let LeaderState {
-                statuses, offered, ..
+                statuses,
+                offered,
+                clearing,
+                ..
             } = &mut *state;
             let mut failing: HashMap<JobId, Instant> = HashMap::new();
             let mut machines: HashMap<&MachineId, (&NodeName, &HeldMachine, Duration)> =
@@ -344,6 +348,7 @@
                     self.config.tuning.paid,
                 ),
                 offered,
+                clearing,
                 failing: &failing,
                 start_target: self.config.tuning.start_target,
                 offer_life: self.config.tuning.offer,
@@ -359,6 +364,17 @@
             }
             routed
         };
+        for (node, tasks) in routed.preempt {
+            if node == self.config.node {
+                self.take_preemptions(tasks);
+                continue;
+            }
+            let this = self.clone();
+            tokio::spawn(async move {
+                // Unanswered: the room does not show and is asked for again.
+                let _ = this.peers.call(&node, PeerCall::Preempt(tasks)).await;
+            });
+        }
         for (node, offers) in routed.offers {
             if node == self.config.node {
                 self.take_offers(offers);
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -43,6 +43,12 @@
 /// Tasks under way to a holder.
 pub type Offered = HashMap<JobId, HashMap<u32, (NodeName, Instant)>>;
 
+/// Waiting tasks for which others are being stopped, since when.
+pub type Clearing = HashMap<TaskId, Instant>;
+
+/// A stopped task's room shows within this time, or it is asked for again.
+const CLEARING: Duration = Duration::from_millis(2500);
+
 /// Tasks looked at in one pass.
 const TASKS_PER_PASS: usize = 600;
 
@@ -51,6 +57,7 @@
     pub teams: &'a [Team],
     pub open: Vec<Open>,
     pub offered: &'a mut Offered,
+    pub clearing: &'a mut Clearing,
     pub failing: &'a HashMap<JobId, Instant>,
     pub start_target: Duration,
     pub offer_life: Duration,
@@ -80,6 +87,9 @@
             }
         }
         self.settle_offers(&mut used, &mut by_node);
+        let now = self.now;
+        self.clearing
+            .retain(|_, since| now.duration_since(*since) < CLEARING);
         let book = self.book;
         let candidates = self.candidates(book, &used);
         let mut looked_at = 0;
@@ -247,13 +257,15 @@
                     zone_admits(spec, &zones, &slot.zone)
                 });
                 *total = after;
-                match anywhere.and_then(|at| node_of(&slots[at])) {
+                let roomy = anywhere.and_then(|at| node_of(&slots[at])).cloned();
+                match roomy {
                     // There is room, but the quota lies with another block.
                     Some(node) => {
-                        let key = (node.clone(), spec.team.clone());
+                        let key = (node, spec.team.clone());
                         let short = routed.short.entry(key).or_default();
                         *short = short.plus(&quota);
                     }
+                    None if self.clear_room(candidate, task, routed) => {}
                     None => {
                         full = true;
                         unplaced += 1;
@@ -304,6 +316,86 @@
     }
 }
 
+impl Routing<'_> {
+    /// Finds array tasks to stop for a replica of the highest priority that has
+    /// no room. One machine is cleared, with the fewest and youngest victims.
+    /// True: room is on its way.
+    fn clear_room(&mut self, candidate: &Candidate<'_>, task: u32, routed: &mut Routed) -> bool {
+        let Candidate { id, spec, .. } = candidate;
+        let key = TaskId::new((*id).clone(), task);
+        if self.clearing.contains_key(&key) {
+            return true;
+        }
+        if spec.kind != JobKind::Service || spec.priority != Priority::Production {
+            return false;
+        }
+        let mut best: Option<(usize, bool, u64, usize, Vec<TaskId>)> = None;
+        for (at, open) in self.open.iter().enumerate() {
+            if !placement::allowed(spec, &open.slot) || open.slot.leaves_in.is_some() {
+                continue;
+            }
+            let mut victims: Vec<(Priority, u64, TaskId, Resources)> = self
+                .book
+                .on_machine
+                .get(&open.slot.machine)
+                .into_iter()
+                .flatten()
+                .filter_map(|(task, _)| {
+                    let job = self.book.jobs.get(&task.job)?;
+                    let other = job.spec()?;
+                    (other.kind == JobKind::Array
+                        && job.draining.is_none()
+                        && other.priority < spec.priority
+                        && !self.clearing.contains_key(task))
+                    .then(|| {
+                        let age = u64::MAX - other.accepted_ms;
+                        (other.priority, age, task.clone(), other.per_task)
+                    })
+                })
+                .collect();
+            victims.sort_by(|a, b| (a.0, a.1, &a.2).cmp(&(b.0, b.1, &b.2)));
+            let mut room = open.slot.room;
+            let mut chosen = Vec::new();
+            let mut youngest = u64::MAX;
+            for (_, age, victim, size) in victims {
+                if spec.per_task.fits_in(&room) {
+                    break;
+                }
+                room += size;
+                youngest = youngest.min(age);
+                chosen.push(victim);
+            }
+            if chosen.is_empty() || !spec.per_task.fits_in(&room) {
+                continue;
+            }
+            let cold = !open.slot.images.contains(&spec.image);
+            let better = best
+                .as_ref()
+                .is_none_or(|b| (chosen.len(), cold, youngest) < (b.0, b.1, b.2));
+            if better {
+                best = Some((chosen.len(), cold, youngest, at, chosen));
+            }
+        }
+        let Some((_, _, _, at, chosen)) = best else {
+            return false;
+        };
+        self.clearing.insert(key, self.now);
+        for victim in &chosen {
+            self.clearing.insert(victim.clone(), self.now);
+        }
+        let open = &mut self.open[at];
+        // What is freed belongs to the waiting task; the rest is small.
+        tracing::debug!(job = %id, task, machine = %open.slot.machine, victims = chosen.len(),
+            "room is cleared");
+        routed
+            .preempt
+            .entry(open.node.clone())
+            .or_default()
+            .extend(chosen);
+        true
+    }
+}
+
 /// A holder's machine that takes tasks: its cached images and learned speed.
 pub type Usable<'a> = &'a dyn Fn(&NodeName, &MachineId) -> Option<(Vec<ImageName>, f64)>;
 
