Refused rents are asked for elsewhere at once; no machine for a trifle

Cause: with capacity spread over small pools the remedial rule asked one place a second and a round's shortfall was forgotten, so that arrays waited a minute; and the largest type was rented for one or two tasks.

--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -68,7 +68,9 @@
 #[derive(Default)]
 pub struct FleetState {
     pub marked: Option<MachineId>,
-    refused: HashMap<Place, Instant>,
+    refused: HashMap<Place, Refusal>,
+    /// Machines that a round asked for and no place had: asked for elsewhere.
+    carried: u32,
     in_flight: HashSet<RentName>,
     next_try: HashMap<RentName, Instant>,
     rents: u64,
@@ -84,8 +86,30 @@
     returned: HashMap<MachineId, Instant>,
 }
 
-/// How long refused capacity is not asked for again.
-const REFUSED: Duration = Duration::from_secs(12);
+/// Capacity that was refused is not asked for again for a while, which doubles
+/// with each refusal in a row.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    until: Instant,
+    streak: u32,
+}
+
+impl Refusal {
+    fn after(known: Option<&Refusal>, now: Instant) -> Self {
+        let streak = known.map_or(0, |known| known.streak + 1).min(3);
+        let pause = REFUSED * (1 << streak);
+        Refusal {
+            until: now + pause.min(REFUSED_LONGEST),
+            streak,
+        }
+    }
+}
+
+const REFUSED: Duration = Duration::from_secs(10);
+const REFUSED_LONGEST: Duration = Duration::from_secs(40);
+/// A machine of which the waiting tasks fill less than this is not rented,
+/// unless they are overdue or cannot wait.
+const LEAST_FILL: f64 = 0.25;
 /// A silent machine heard elsewhere this lately is not gone.
 const SIGHTED: Duration = Duration::from_secs(6);
 /// A silent machine that another controller reaches is left alone this long.
@@ -104,7 +128,7 @@
 /// What renting looks at.
 pub struct Market<'a> {
     pub book: &'a Book,
-    pub refused: &'a HashMap<Place, Instant>,
+    pub refused: &'a HashMap<Place, Refusal>,
     pub now: Instant,
     pub k: f64,
 }
@@ -113,7 +137,7 @@
     fn available(&self, place: &Place) -> bool {
         self.refused
             .get(place)
-            .is_none_or(|until| *until <= self.now)
+            .is_none_or(|refusal| refusal.until <= self.now)
     }
 
     /// The pool that suits `tasks` of the job best (paper, section 5.2).
@@ -161,6 +185,7 @@
         booting: &mut [(placement::Slot, u32)],
     ) -> BTreeMap<Pool, f64> {
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
+        let mut pressing: BTreeSet<Pool> = BTreeSet::new();
         for waiting in unplaced {
             let Some(spec) = self.book.jobs.get(&waiting.job).and_then(|job| job.spec()) else {
                 continue;
@@ -183,9 +208,13 @@
                 && let Some(kind) = self.book.machine_type(&pool.0)
             {
                 let per = spec.per_task.count_in(&kind.size).max(1);
+                if waiting.overdue || spec.priority == Priority::Production {
+                    pressing.insert(pool.clone());
+                }
                 *need.entry(pool).or_default() += f64::from(left) / f64::from(per);
             }
         }
+        need.retain(|pool, machines| *machines >= LEAST_FILL || pressing.contains(pool));
         need
     }
 
@@ -375,6 +404,7 @@
                 tuning.beta,
                 booting_count,
             );
+            left = left.max(std::mem::take(&mut fleet.carried));
             // Exception to section 5.4, see docs/DESIGN.md: never more than the
             // waiting tasks would fill.
             while left > 0
@@ -786,11 +816,14 @@
         answer: Result<Vec<MachineId>, CloudError>,
     ) {
         let place = (record.kind.clone(), record.zone.clone(), record.spot);
-        let refuse = |node: &Node| {
-            lock(&node.leader)
-                .fleet
-                .refused
-                .insert(place.clone(), Instant::now() + REFUSED);
+        let refuse = |node: &Node, missing: u32| {
+            let mut state = lock(&node.leader);
+            let fleet = &mut state.fleet;
+            let refusal = Refusal::after(fleet.refused.get(&place), Instant::now());
+            fleet.refused.insert(place.clone(), refusal);
+            fleet.carried = fleet.carried.max(missing);
+            // The next best place is asked at once.
+            fleet.last_remedy = None;
         };
         let mark = {
             let book = self.store.book();
@@ -804,7 +837,9 @@
                 tracing::info!(%name, kind = %record.kind, zone = %record.zone,
                     spot = record.spot, asked = record.count, got = machines.len(), "rented");
                 if machines.len() < record.count as usize {
-                    refuse(self);
+                    refuse(self, record.count - machines.len() as u32);
+                } else {
+                    lock(&self.leader).fleet.refused.remove(&place);
                 }
                 // The record of the request goes with the last machines' only.
                 let step = self.config.txn_ops.saturating_sub(1).max(1);
@@ -839,7 +874,7 @@
             Err(CloudError::NoCapacity) => {
                 tracing::info!(%name, kind = %record.kind, zone = %record.zone,
                     spot = record.spot, "no capacity");
-                refuse(self);
+                refuse(self, record.count);
                 let transaction = Transaction::default()
                     .require(keys::rent(name), mark)
                     .remove(keys::rent(name));
