--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -366,6 +366,7 @@
             now,
             k: tuning.suitability_k,
         };
+        stats.starve(unplaced.iter().map(|item| &item.job), now);
         stats.observe(
             book,
             now,
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -223,6 +223,7 @@
             let after = total.plus(&quota);
             if !limit.covers(&after) {
                 // More machines would not help these.
+                self.clear_quota(candidate, task, routed);
                 break;
             }
             if full {
@@ -317,6 +318,60 @@
 }
 
 impl Routing<'_> {
+    /// A replica of the highest priority whose team is at its limit: the team's
+    /// own youngest array tasks of lower priority make way.
+    fn clear_quota(&mut self, candidate: &Candidate<'_>, task: u32, routed: &mut Routed) {
+        let Candidate { id, spec, .. } = candidate;
+        let key = TaskId::new((*id).clone(), task);
+        if spec.kind != JobKind::Service
+            || spec.priority != Priority::Production
+            || self.clearing.contains_key(&key)
+        {
+            return;
+        }
+        let mut victims: Vec<(Priority, u64, &TaskId, &MachineId, f64)> = Vec::new();
+        for (machine, tasks) in &self.book.on_machine {
+            for task in tasks.keys() {
+                let Some(job) = self.book.jobs.get(&task.job) else {
+                    continue;
+                };
+                let Some(other) = job.spec() else { continue };
+                if other.team == spec.team
+                    && other.kind == JobKind::Array
+                    && other.priority < spec.priority
+                    && job.draining.is_none()
+                    && !self.clearing.contains_key(task)
+                {
+                    let age = u64::MAX - other.accepted_ms;
+                    let cpus = other.per_task.cpus;
+                    victims.push((other.priority, age, task, machine, cpus));
+                }
+            }
+        }
+        victims.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
+        let mut missing = spec.per_task.cpus;
+        let mut chosen = Vec::new();
+        for (_, _, task, machine, cpus) in victims {
+            if missing <= AMOUNT_SLACK {
+                break;
+            }
+            missing -= cpus;
+            if let Some((node, _)) = self.book.block_of(machine) {
+                chosen.push((node.clone(), task.clone()));
+            }
+        }
+        if missing > AMOUNT_SLACK {
+            return;
+        }
+        tracing::debug!(job = %id, task, team = %spec.team, victims = chosen.len(),
+            "quota is cleared");
+        self.clearing.insert(key, self.now);
+        for (node, victim) in chosen {
+            self.clearing.insert(victim.clone(), self.now);
+            routed.preempt.entry(node).or_default().push(victim);
+        }
+    }
+
     /// Finds array tasks to stop for a replica of the highest priority that has
     /// no room. One machine is cleared, with the fewest and youngest victims.
     /// True: room is on its way.
--- a/src/coordination/leader/stats.rs
+++ b/src/coordination/leader/stats.rs
@@ -36,8 +36,15 @@
     judged: VecDeque<Judged>,
     arrivals: VecDeque<(Instant, u32)>,
     primed: bool,
+    /// How long each job's tasks have waited for room.
+    starved: HashMap<JobId, Duration>,
+    looked: Option<Instant>,
 }
 
+/// A job that waited for room no longer than this would have been as late with
+/// any number of machines.
+const STARVED: Duration = Duration::from_secs(1);
+
 pub struct Misses {
     pub rate: f64,
     /// Each pool's share of the misses.
@@ -45,6 +52,21 @@
 }
 
 impl Stats {
+    /// Adds to the time that jobs have waited for room. Time spent waiting for a
+    /// team's limit is not in it: no machine would shorten that, and counting it
+    /// kept the miss rate up and idle machines rented.
+    pub fn starve<'a>(&mut self, waiting: impl Iterator<Item = &'a JobId>, now: Instant) {
+        let since = self.looked.replace(now);
+        let step = since.map_or(Duration::ZERO, |at| now.duration_since(at));
+        for job in waiting {
+            *self.starved.entry(job.clone()).or_default() += step;
+        }
+    }
+
+    fn starved(&self, job: &JobId) -> Duration {
+        self.starved.get(job).copied().unwrap_or_default()
+    }
+
     /// Takes note of what has happened since the last call. `suited` names the
     /// pool that suits a job.
     pub fn observe(
@@ -76,10 +98,13 @@
             });
             let age = spec.age(wall);
             let (count, missed) = match spec.deadline {
-                Some(deadline) => (seen.done.saturating_sub(before.done), age > deadline),
+                Some(deadline) => (
+                    seen.done.saturating_sub(before.done),
+                    age > deadline && self.starved(id) > STARVED,
+                ),
                 None => (
                     seen.started.saturating_sub(before.started),
-                    age > start_target,
+                    self.starved(id) > start_target,
                 ),
             };
             if count > 0 {
@@ -99,6 +124,7 @@
                 },
             );
         }
+        self.starved.retain(|id, _| progress.contains_key(id));
         self.progress = progress;
         self.primed = true;
         self.judged.extend(judged);
