--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -99,17 +99,7 @@
         Err(_) => other_seeds().unwrap_or(SEEDS).collect(),
     };
     let alone = seeds.len() == 1;
-    if let Some(level) = std::env::var("SCENARIO_LOG")
-        .ok()
-        .and_then(|level| level.parse::<tracing::Level>().ok())
-    {
-        tracing_subscriber::fmt()
-            .with_max_level(level)
-            .with_ansi(false)
-            .with_target(false)
-            .without_time()
-            .init();
-    }
+    sim::start_logging();
     let playing: Vec<_> = seeds
         .into_iter()
         .map(|seed| {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,17 +11,7 @@
 fn every_scenario_holds() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
     let only = std::env::var("SCENARIO").ok();
-    if let Some(level) = std::env::var("SCENARIO_LOG")
-        .ok()
-        .and_then(|level| level.parse::<tracing::Level>().ok())
-    {
-        tracing_subscriber::fmt()
-            .with_max_level(level)
-            .with_ansi(false)
-            .with_target(false)
-            .without_time()
-            .init();
-    }
+    sim::start_logging();
     let mut files: Vec<_> = fs::read_dir(folder)
         .expect("the scenarios' folder")
         .map(|entry| entry.expect("an entry").path())
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -6,3 +6,16 @@
 pub mod users;
 pub mod worker;
 pub mod world;
+
+/// Logs to standard output at the level that SCENARIO_LOG names.
+pub fn start_logging() {
+    let level = std::env::var("SCENARIO_LOG").ok();
+    if let Some(level) = level.and_then(|level| level.parse::<tracing::Level>().ok()) {
+        tracing_subscriber::fmt()
+            .with_max_level(level)
+            .with_ansi(false)
+            .with_target(false)
+            .without_time()
+            .init();
+    }
+}
