--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -78,7 +78,6 @@
     name("tack", &job.tack)?;
     let kind = match job.gait.as_str() {
         "sweep" => JobKind::Array,
-        "group" => JobKind::Gang,
         "daemon" => JobKind::Service,
         _ => return Err(Malformed("gait must be sweep or daemon".into())),
     };
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -121,8 +121,6 @@
 pub enum JobKind {
     /// Independent tasks, each running to completion.
     Array,
-    /// All tasks at once; placed whole.
-    Gang,
     /// Replicas that run until the job is cancelled.
     Service,
 }
