--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -109,7 +109,7 @@
 const REFUSED_LONGEST: Duration = Duration::from_secs(40);
 /// A machine of which the waiting tasks fill less than this is not rented,
 /// unless they are overdue or cannot wait.
-const LEAST_FILL: f64 = 0.25;
+const LEAST_FILL: f64 = 0.6;
 /// A silent machine heard elsewhere this lately is not gone.
 const SIGHTED: Duration = Duration::from_secs(6);
 /// A silent machine that another controller reaches is left alone this long.
