--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -476,6 +476,7 @@
             let Some(offer) = state.offers.get(id) else {
                 continue;
             };
+            let before = (spec.kind == JobKind::Gang).then(|| (slots.clone(), used.clone()));
             for &task in &offer.tasks {
                 if task >= spec.tasks || job.placement(task).is_some() || job.is_task_done(task) {
                     continue;
@@ -532,6 +533,15 @@
                     },
                 ));
             }
+            // A gang's part is placed whole or not at all.
+            let started = changes.0.get(id).map_or(0, |change| change.starts.len());
+            if let Some((old_slots, old_used)) = before
+                && (1..offer.tasks.len()).contains(&started)
+            {
+                slots = old_slots;
+                used = old_used;
+                changes.0.remove(id);
+            }
         }
     }
 
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -186,6 +186,21 @@
         candidates
     }
 
+    /// The block in which that many tasks fit, the one with the most room.
+    fn block_with_room(&self, spec: &JobSpec, tasks: usize) -> Option<NodeName> {
+        let mut room: BTreeMap<&NodeName, u64> = BTreeMap::new();
+        for open in &self.open {
+            if placement::allowed(spec, &open.slot) && open.slot.leaves_in.is_none() {
+                *room.entry(&open.node).or_default() +=
+                    u64::from(spec.per_task.count_in(&open.slot.room));
+            }
+        }
+        room.into_iter()
+            .filter(|(_, fit)| *fit >= tasks as u64)
+            .max_by_key(|(_, fit)| *fit)
+            .map(|(node, _)| node.clone())
+    }
+
     /// Routes what it can of one job; returns how many tasks were looked at.
     fn route_job(
         &mut self,
@@ -202,7 +217,26 @@
             .find(|team| team.name == spec.team)
             .map(|team| team.limit)
             .unwrap_or_default();
-        let waiting = job.waiting_tasks(TASKS_PER_PASS);
+        let gang = spec.kind == JobKind::Gang;
+        if gang && job.placed > 0 {
+            // Its tasks start together: what is still there leaves first.
+            return 1;
+        }
+        let most = if gang {
+            spec.tasks as usize
+        } else {
+            TASKS_PER_PASS
+        };
+        let waiting = job.waiting_tasks(most);
+        let gang_size = waiting.len();
+        if gang && self.offered.contains_key(*id) {
+            return 1;
+        }
+        // One holder commits its part at once, so one block is best.
+        let gang_node = gang
+            .then(|| self.block_with_room(spec, gang_size))
+            .flatten();
+        let before = gang.then(|| (self.open.clone(), by_node.clone(), used.clone()));
         let factor = (self.factor)(&spec.class);
         let mut zones = zone_counts(self.book, job);
         let mut unplaced = 0;
@@ -251,11 +285,17 @@
                 budget.covers(&used.plus(&quota))
             };
             let within = placement::choose(spec, &slots, factor, |slot| {
-                zone_admits(spec, &zones, &slot.zone) && node_of(slot).is_some_and(&fits_budget)
+                zone_admits(spec, &zones, &slot.zone)
+                    && node_of(slot).is_some_and(|node| {
+                        gang_node.as_ref().is_none_or(|only| only == node) && fits_budget(node)
+                    })
             });
             let Some(at) = within else {
                 let anywhere = placement::choose(spec, &slots, factor, |slot| {
                     zone_admits(spec, &zones, &slot.zone)
+                        && gang_node
+                            .as_ref()
+                            .is_none_or(|only| node_of(slot) == Some(only))
                 });
                 *total = after;
                 let roomy = anywhere.and_then(|at| node_of(&slots[at])).cloned();
@@ -301,6 +341,21 @@
                 }),
             }
         }
+        if let Some((open, nodes, all)) = before
+            && self.offered.get(*id).map_or(0, HashMap::len) < gang_size
+        {
+            // Whole or not at all.
+            self.open = open;
+            *by_node = nodes;
+            *used = all;
+            self.offered.remove(*id);
+            for offers in routed.offers.values_mut() {
+                offers.retain(|offer| offer.job != **id);
+            }
+            if unplaced > 0 {
+                unplaced = gang_size as u32;
+            }
+        }
         if unplaced > 0 {
             let age = spec.age(self.wall);
             let overdue = match spec.deadline {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -126,7 +126,7 @@
         }
         let at_once = match spec.kind {
             JobKind::Array => 1,
-            JobKind::Service => spec.tasks,
+            JobKind::Gang | JobKind::Service => spec.tasks,
         };
         let needed = Quota::of(&spec.per_task).times(f64::from(at_once));
         if !team.limit.covers(&needed) {
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -78,8 +78,9 @@
     name("tack", &job.tack)?;
     let kind = match job.gait.as_str() {
         "sweep" => JobKind::Array,
+        "group" => JobKind::Gang,
         "daemon" => JobKind::Service,
-        _ => return Err(Malformed("gait must be sweep or daemon".into())),
+        _ => return Err(Malformed("gait must be sweep, group or daemon".into())),
     };
     let priority = match job.rank.as_str() {
         "prod" => Priority::Production,
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -121,6 +121,8 @@
 pub enum JobKind {
     /// Independent tasks, each running to completion.
     Array,
+    /// All tasks at once; placed whole.
+    Gang,
     /// Replicas that run until the job is cancelled.
     Service,
 }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -37,6 +37,8 @@
         team: TeamName::new(words.get("team").copied().unwrap_or("team")),
         kind: if words.contains_key("service") {
             JobKind::Service
+        } else if words.contains_key("gang") {
+            JobKind::Gang
         } else {
             JobKind::Array
         },
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -11,7 +11,8 @@
 pub fn write_job(id: &JobId, spec: &JobSpec) -> Value {
     json!({
         "uid": id.as_str(), "herd": spec.class.as_str(), "stable": spec.team.as_str(),
-        "gait": match spec.kind { JobKind::Array => "sweep", JobKind::Service => "daemon" },
+        "gait": match spec.kind { JobKind::Array => "sweep", JobKind::Gang => "group",
+            JobKind::Service => "daemon" },
         "rank": match spec.priority { Priority::Production => "prod", Priority::Urgent => "urgent",
             Priority::Normal => "normal", Priority::BestEffort => "best_effort" },
         "strides": spec.tasks, "cpus": spec.per_task.cpus, "gpus": spec.per_task.gpus,
