--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -566,7 +566,16 @@
             for (task, placement) in placed {
                 let job = book.jobs.get(&task.job);
                 let cancelled = job.is_some_and(|job| job.draining.is_some());
-                let wanted = cancelled || preempting.get(task) == Some(&placement.attempt);
+                // The cloud takes the machine: replicas go to another one before
+                // it does, and tasks that can save do so.
+                let leaves = view.leaves_at.is_some_and(|at| {
+                    job.and_then(|job| job.spec()).is_some_and(|spec| {
+                        spec.kind == JobKind::Service
+                            || (!spec.checkpoint.is_zero() && now + spec.save < at)
+                    })
+                });
+                let wanted =
+                    cancelled || leaves || preempting.get(task) == Some(&placement.attempt);
                 let over = view.tasks.get(task).is_some_and(|seen| {
                     seen.attempt == placement.attempt && matches!(seen.state, TaskState::Exited(_))
                 });
