One budget for sockets in and out; registration on condition; a gang's parts join

Sockets: incoming connections were bounded at 0.75 of the limit and closed at once beyond it, outgoing ones (six idle a worker for 20 s) not at all; one controller that holds 1,955 machines would pass 2,178. Now each use stops at its share and connections end with their answer when the whole is pressed. Registration: a late commit of an earlier process could put the key under a dying grant; it is conditional, and a lost key is noticed. A gang of which one holder had no room stayed in parts until the others had ended.

--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -188,6 +188,19 @@
     part(free.cpus, quota.cpus).min(part(free.gpus, quota.gpus))
 }
 
+/// Whether a gang's waiting tasks may join those that are placed: when a holder
+/// had no room left for its part, the others' parts wait for it. Not when a task
+/// has ended: its next attempt is then above those of its mates, which leave.
+fn may_complete(job: &Job) -> bool {
+    let records = || job.chunks.values().map(|kept| &kept.value);
+    let placed = records().flat_map(|record| record.placed.values());
+    let ended = records().flat_map(|record| record.before.values());
+    match placed.map(|placement| placement.attempt).min() {
+        Some(attempt) => job.done == 0 && ended.max().is_none_or(|last| *last < attempt),
+        None => true,
+    }
+}
+
 struct Candidate<'a> {
     id: &'a JobId,
     spec: &'a JobSpec,
@@ -342,7 +355,7 @@
     fn route_job(&mut self, candidate: &Candidate<'_>, used: &mut Used, routed: &mut Routed) {
         let Candidate { id, spec, job, .. } = candidate;
         let gang = spec.kind == JobKind::Gang;
-        if gang && (job.placed > 0 || self.offered.contains_key(*id)) {
+        if gang && (self.offered.contains_key(*id) || !may_complete(job)) {
             // Its tasks start together: what is still there leaves first.
             return;
         }
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -36,6 +36,13 @@
                 Some(held) => Some(held),
                 None => self.register(life).await,
             };
+            if grant.is_some() && self.is_unregistered() {
+                // Whatever took our key away, it can only be had anew: without it
+                // no block is leased to us.
+                tracing::info!("our registration is gone; registering again");
+                grant = None;
+                continue;
+            }
             if let Some(held) = grant
                 && self.store.is_loaded()
             {
@@ -60,10 +67,17 @@
             incarnation: self.config.incarnation,
             zone: self.config.zone.clone(),
         };
-        // Unconditional: an earlier process of this node is dead, whatever its
-        // key still says.
+        // Whatever the key says of an earlier process, that one is dead. On the
+        // condition of the revision that it has now: a registration of that
+        // process, or an earlier try of ours, that is applied late would put the
+        // key under a grant that ends, and take it away with it.
+        let key = keys::node(&self.config.node);
+        let found = self.store.get(&key).await.ok()?;
+        let mark = found.map_or(Revision(0), |item| item.mark);
         let transaction =
-            Transaction::default().set_with(keys::node(&self.config.node), &record, Some(grant));
+            Transaction::default()
+                .require(key.clone(), mark)
+                .set_with(key, &record, Some(grant));
         match self.store.commit(&transaction, Urgency::Fence).await {
             Ok(_) => {
                 tracing::info!(incarnation = %self.config.incarnation, "registered");
@@ -76,6 +90,18 @@
         }
     }
 
+    /// The book, which holds our own commits from their answer on, shows no
+    /// registration of ours.
+    fn is_unregistered(&self) -> bool {
+        self.store.is_loaded()
+            && self
+                .store
+                .book()
+                .nodes
+                .get(&self.config.node)
+                .is_none_or(|kept| kept.value.incarnation != self.config.incarnation)
+    }
+
     async fn stand_for_leader(&self, grant: GrantId) {
         let expected = {
             let book = self.store.book();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! The program: command line, settings, logging, and the node's tasks.
 
-use std::{collections::HashMap, process::ExitCode, str::FromStr, sync::Arc};
+use std::{collections::HashMap, process::ExitCode, str::FromStr, sync::Arc, time::Duration};
 
 use clap::Parser;
 use stallcove::{
@@ -13,6 +13,7 @@
         links,
         ports::{HttpCloud, HttpState, HttpWorkers, LinkPeers},
         server,
+        sockets::{InUse, Sockets},
     },
 };
 use tokio::{net::TcpListener, task::JoinSet};
@@ -34,9 +35,6 @@
     check: bool,
 }
 
-/// Share of the sockets that may be taken by connections to us.
-const PLACES_SHARE: f64 = 0.75;
-
 fn start_logging() {
     let wanted = std::env::var("LOG_LEVEL").unwrap_or_default();
     let level = tracing::Level::from_str(&wanted).unwrap_or(tracing::Level::INFO);
@@ -105,9 +103,9 @@
 async fn run(settings: Settings, tuning: Tuning) -> Result<(), String> {
     let incarnation = Incarnation(rand::random::<u64>() >> 1);
     let config = settings.config(incarnation, tuning);
-    let places = (config.max_connections as f64 * PLACES_SHARE) as usize;
+    let sockets = Sockets::new(config.max_connections);
     let stop = CancellationToken::new();
-    let net: Arc<dyn Network> = Arc::new(HttpNetwork::default());
+    let net: Arc<dyn Network> = Arc::new(HttpNetwork::new(sockets.clone()));
     let addresses: HashMap<NodeName, String> = settings
         .peers
         .iter()
@@ -138,19 +136,24 @@
     let mut duties: JoinSet<&'static str> = JoinSet::new();
     node.start(&mut duties);
     {
-        let (node, stop) = (node.clone(), stop.clone());
+        let (node, sockets, stop) = (node.clone(), sockets.clone(), stop.clone());
         duties.spawn(async move {
-            server::serve(server::router(node), public, places, stop).await;
+            let router = server::router(node, sockets.clone());
+            server::serve(router, public, sockets, stop).await;
             "server"
         });
     }
     {
-        let (node, stop) = (node.clone(), stop.clone());
+        let (node, sockets, stop) = (node.clone(), sockets.clone(), stop.clone());
         duties.spawn(async move {
-            links::serve(node, private, stop).await;
+            links::serve(node, private, sockets, stop).await;
             "peer links"
         });
     }
+    duties.spawn(async move {
+        log_sockets(&sockets).await;
+        "log of sockets"
+    });
     // Duties go on until the process is told to stop, which nobody does here:
     // one that ends has failed.
     let ended = duties.join_next().await;
@@ -161,3 +164,19 @@
         None => "no duty runs".into(),
     })
 }
+
+/// How often the sockets in use are logged.
+const SOCKETS_EVERY: Duration = Duration::from_secs(10);
+
+async fn log_sockets(sockets: &Sockets) {
+    loop {
+        tokio::time::sleep(SOCKETS_EVERY).await;
+        let InUse {
+            served,
+            workers,
+            services,
+            refused,
+        } = sockets.look();
+        tracing::info!(served, workers, services, refused, "sockets");
+    }
+}
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,44 +1,98 @@
 //! The real network: pooled HTTP/1.1 connections, and peer links.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, header};
+use hyper::{Request, Uri, header};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+    rt::{TokioExecutor, TokioIo, TokioTimer},
 };
+use tokio::net::TcpStream;
+use tower::Service;
 
 use super::{
     links::LinkPool,
-    network::{Call, Method, Network, Reply, SendError},
+    network::{Call, Method, Network, Reply, SendError, Target},
+    sockets::{Counted, Sockets, Use},
 };
 
 /// Answers beyond this are not read; a watch's answer has no limit of its own.
 const REPLY_LIMIT: usize = 8 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-const IDLE_PER_HOST: usize = 6;
+/// Idle connections to a service, and how long they are kept.
+const SERVICE_IDLE: (usize, Duration) = (6, Duration::from_secs(20));
+/// The same for a worker: of these there are hundreds, and orders to one come
+/// close together or not at all.
+const WORKER_IDLE: (usize, Duration) = (1, Duration::from_secs(2));
+
+/// Connects within the budget of sockets.
+#[derive(Clone)]
+struct Connector {
+    http: HttpConnector,
+    sockets: Sockets,
+    purpose: Use,
+}
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+impl Service<Uri> for Connector {
+    type Response = Counted<TokioIo<TcpStream>>;
+    type Error = BoxError;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.http.poll_ready(cx).map_err(Into::into)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let taken = self.sockets.take(self.purpose);
+        let connecting = self.http.call(uri);
+        async move {
+            let taken = taken.ok_or("no socket left for this")?;
+            Ok(Counted::new(connecting.await?, taken))
+        }
+        .boxed()
+    }
+}
+
+type Pool = Client<Connector, Full<Bytes>>;
 
 pub struct HttpNetwork {
-    client: Client<HttpConnector, Full<Bytes>>,
+    services: Pool,
+    workers: Pool,
     links: Arc<LinkPool>,
+    sockets: Sockets,
 }
 
-impl Default for HttpNetwork {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(20))
-            .pool_max_idle_per_host(IDLE_PER_HOST)
-            .build(connector);
+impl HttpNetwork {
+    pub fn new(sockets: Sockets) -> Self {
+        let pool = |purpose, (count, life): (usize, Duration)| {
+            let mut http = HttpConnector::new();
+            http.set_nodelay(true);
+            http.set_connect_timeout(Some(CONNECT_TIMEOUT));
+            let connector = Connector {
+                http,
+                sockets: sockets.clone(),
+                purpose,
+            };
+            Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(life)
+                .pool_max_idle_per_host(count)
+                .build(connector)
+        };
         Self {
-            client,
-            links: Arc::new(LinkPool::default()),
+            services: pool(Use::Service, SERVICE_IDLE),
+            workers: pool(Use::Worker, WORKER_IDLE),
+            links: Arc::new(LinkPool::new(sockets.clone())),
+            sockets,
         }
     }
 }
@@ -46,18 +100,26 @@
 impl HttpNetwork {
     async fn send(&self, call: Call) -> Result<Reply, SendError> {
         let not_sent = |error: String| SendError::NotSent(error);
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(match call.method {
                 Method::Get => "GET",
                 Method::Post => "POST",
                 Method::Delete => "DELETE",
             })
             .uri(format!("http://{}{}", call.address, call.path))
-            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::CONTENT_TYPE, "application/json");
+        let pool = match call.target {
+            Target::Service => &self.services,
+            Target::Worker => &self.workers,
+        };
+        if call.target == Target::Worker && self.sockets.is_pressed() {
+            request = request.header(header::CONNECTION, "close");
+        }
+        let request = request
             .body(Full::new(call.body))
             .map_err(|error| not_sent(error.to_string()))?;
         let exchange = async {
-            let response = self.client.request(request).await.map_err(|error| {
+            let response = pool.request(request).await.map_err(|error| {
                 if error.is_connect() {
                     SendError::NotSent(error.to_string())
                 } else {
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -19,38 +19,51 @@
     sync::CancellationToken,
 };
 
-use super::network::SendError;
+use super::{
+    network::SendError,
+    sockets::{Sockets, Taken, Use},
+};
 use crate::{
     coordination::Node,
     protocol::peers::{self, FRAME_LIMIT},
 };
 
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
+type Link = (Framed<TcpStream, LengthDelimitedCodec>, Taken);
 
 const IDLE_LINKS: usize = 4;
 const LINKS_IN: usize = 64;
 const IDLE: Duration = Duration::from_secs(30);
 
-fn framed(stream: TcpStream) -> Link {
+fn framed(stream: TcpStream, taken: Taken) -> Link {
     // Small messages that somebody waits for.
     let _ = stream.set_nodelay(true);
-    LengthDelimitedCodec::builder()
+    let framed = LengthDelimitedCodec::builder()
         .max_frame_length(FRAME_LIMIT)
-        .new_framed(stream)
+        .new_framed(stream);
+    (framed, taken)
 }
 
 /// Idle links by address.
-#[derive(Default)]
-pub struct LinkPool(Mutex<HashMap<String, Vec<Link>>>);
+pub struct LinkPool {
+    idle: Mutex<HashMap<String, Vec<Link>>>,
+    sockets: Sockets,
+}
 
 impl LinkPool {
+    pub fn new(sockets: Sockets) -> Self {
+        Self {
+            idle: Mutex::default(),
+            sockets,
+        }
+    }
+
     fn take(&self, address: &str) -> Option<Link> {
-        let mut pool = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        let mut pool = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         pool.get_mut(address)?.pop()
     }
 
     fn put(&self, address: &str, link: Link) {
-        let mut pool = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        let mut pool = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let idle = pool.entry(address.to_owned()).or_default();
         if idle.len() < IDLE_LINKS {
             idle.push(link);
@@ -67,10 +80,12 @@
                 return Ok(answer);
             }
         }
+        let taken = self.sockets.take(Use::Service);
+        let taken = taken.ok_or_else(|| SendError::NotSent("no socket left".into()))?;
         let stream = TcpStream::connect(address)
             .await
             .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let mut link = framed(stream);
+        let mut link = framed(stream, taken);
         let answer = ask(&mut link, frame)
             .await
             .map_err(|error| SendError::NoAnswer(error.to_string()))?;
@@ -79,7 +94,7 @@
     }
 }
 
-async fn ask(link: &mut Link, frame: Bytes) -> io::Result<Vec<u8>> {
+async fn ask((link, _): &mut Link, frame: Bytes) -> io::Result<Vec<u8>> {
     link.send(frame).await?;
     match link.next().await {
         Some(answer) => Ok(answer?.to_vec()),
@@ -88,7 +103,12 @@
 }
 
 /// Serves the peers' links until told to stop.
-pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
+pub async fn serve(
+    node: Arc<Node>,
+    listener: TcpListener,
+    sockets: Sockets,
+    stop: CancellationToken,
+) {
     let places = Arc::new(Semaphore::new(LINKS_IN));
     loop {
         let accepted = tokio::select! {
@@ -102,18 +122,21 @@
         let Ok(place) = places.clone().try_acquire_owned() else {
             continue;
         };
+        let Some(taken) = sockets.take(Use::Service) else {
+            continue;
+        };
         let (node, stop) = (node.clone(), stop.clone());
         tokio::spawn(async move {
             let _place = place;
             tokio::select! {
                 _ = stop.cancelled() => {}
-                _ = serve_link(&node, framed(stream)) => {}
+                _ = serve_link(&node, framed(stream, taken)) => {}
             }
         });
     }
 }
 
-async fn serve_link(node: &Arc<Node>, mut link: Link) {
+async fn serve_link(node: &Arc<Node>, (mut link, _taken): Link) {
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE, link.next()).await {
         let Some(answer) = answer(node, &frame).await else {
             return;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,5 +7,6 @@
 pub mod network;
 pub mod ports;
 pub mod server;
+pub mod sockets;
 
 pub use network::{Call, Network, Reply, SendError};
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -13,9 +13,17 @@
     Delete,
 }
 
+/// Whom a request is for: connections to many workers are kept but shortly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    Service,
+    Worker,
+}
+
 /// An HTTP request.
 #[derive(Clone, Debug)]
 pub struct Call {
+    pub target: Target,
     pub address: String,
     pub method: Method,
     pub path: String,
--- a/src/transport/ports.rs
+++ b/src/transport/ports.rs
@@ -6,7 +6,7 @@
 use futures::future::{BoxFuture, FutureExt};
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::network::{Call, Method, Network, Reply, SendError};
+use super::network::{Call, Method, Network, Reply, SendError, Target};
 use crate::{
     coordination::ports::*,
     protocol::{cloud, peers, state, workers},
@@ -47,6 +47,7 @@
         timeout: Duration,
     ) -> Result<Reply, StateError> {
         let call = Call {
+            target: Target::Service,
             address: self.address.clone(),
             method,
             path,
@@ -226,6 +227,7 @@
                 calls: commands.iter().map(workers::Call::from).collect(),
             };
             let call = Call {
+                target: Target::Worker,
                 address: address.to_owned(),
                 method: Method::Post,
                 path: "/orders".into(),
@@ -248,6 +250,7 @@
     fn inspect<'a>(&'a self, address: &'a str) -> BoxFuture<'a, Result<Report, NoAnswer>> {
         async move {
             let call = Call {
+                target: Target::Worker,
                 address: address.to_owned(),
                 method: Method::Get,
                 path: "/inspect".into(),
@@ -276,6 +279,7 @@
 impl HttpCloud {
     async fn call(&self, method: Method, path: String, body: Bytes) -> Result<Reply, CloudError> {
         let call = Call {
+            target: Target::Service,
             address: self.address.clone(),
             method,
             path,
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -7,15 +7,19 @@
     body::{Body, Bytes},
     extract::{Path, Request, State},
     http::{HeaderValue, StatusCode, header},
+    middleware::{self, Next},
     response::{IntoResponse, Response},
     routing::{get, post},
 };
 use hyper_util::{rt::TokioIo, rt::TokioTimer, service::TowerToHyperService};
 use serde::Serialize;
-use tokio::{net::TcpListener, sync::Semaphore};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::admission::Admission;
+use super::{
+    admission::Admission,
+    sockets::{Sockets, Use},
+};
 use crate::{
     coordination::{
         Node,
@@ -47,7 +51,7 @@
     admission: Admission,
 }
 
-pub fn router(node: Arc<Node>) -> Router {
+pub fn router(node: Arc<Node>, sockets: Sockets) -> Router {
     let app = App {
         node,
         admission: Admission::default(),
@@ -59,6 +63,24 @@
         .route("/ready", get(ready))
         .route("/hello", post(hello))
         .with_state(app)
+        .layer(middleware::from_fn_with_state(sockets, close_if_pressed))
+}
+
+/// With few sockets left, connections end with their answer. Each worker comes
+/// again with its next report, so that idle ones are given up within one report
+/// interval, and all workers can be heard by one controller.
+async fn close_if_pressed(
+    State(sockets): State<Sockets>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let mut response = next.run(request).await;
+    if sockets.is_pressed() {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 fn json(status: StatusCode, body: &impl Serialize) -> Response {
@@ -201,9 +223,13 @@
     }
 }
 
-/// Serves until told to stop. `places` bounds the open connections.
-pub async fn serve(router: Router, listener: TcpListener, places: usize, stop: CancellationToken) {
-    let places = Arc::new(Semaphore::new(places));
+/// Serves until told to stop.
+pub async fn serve(
+    router: Router,
+    listener: TcpListener,
+    sockets: Sockets,
+    stop: CancellationToken,
+) {
     loop {
         let accepted = tokio::select! {
             _ = stop.cancelled() => return,
@@ -219,14 +245,14 @@
         };
         // Beyond the limit the connection is closed at once, so that the load
         // balancer goes on to another node.
-        let Ok(place) = places.clone().try_acquire_owned() else {
+        let Some(taken) = sockets.take(Use::Served) else {
             continue;
         };
         let _ = stream.set_nodelay(true);
         let service = TowerToHyperService::new(router.clone());
         let stop = stop.clone();
         tokio::spawn(async move {
-            let _place = place;
+            let _taken = taken;
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -18,6 +18,7 @@
         network::Method,
         ports::{HttpCloud, HttpState, HttpWorkers, LinkPeers},
         server,
+        sockets::Sockets,
     },
 };
 use tokio::{task::JoinSet, time::Instant};
@@ -341,7 +342,7 @@
         let mut duties = JoinSet::new();
         node.start(&mut duties);
         let running = Running {
-            router: server::router(node.clone()),
+            router: server::router(node.clone(), Sockets::new(500)),
             node,
             stop,
             duties,
