Results go apart from placements, planned when they may be written; larger budget moves

Now a holder plans when it may write, records that others write too go alone, ended tasks' results need no seat, and a budget move takes half of what is unused. A task that is missing (not ended) is now written under its block's record as well: without it a next holder could start it between. Ruled out: the leader's cleaning up (9 conflicts in 200 s), block changes (4).

--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -112,8 +112,17 @@
     id: JobId,
     chunks: BTreeMap<u32, RunRecord>,
     places: bool,
-    /// The blocks on whose machines it places, as the plan saw them.
+    /// The blocks on whose machines it places, or finds tasks missing, as the
+    /// plan saw them.
     blocks: BTreeMap<BlockId, Revision>,
+    /// It holds only as long as we hold the machines: what it says is a decision
+    /// of ours, or that a task is missing which a next holder would start. That a
+    /// task has ended stays true whoever holds its machine.
+    fenced: bool,
+    /// Others write its records as well, so that it may well be refused.
+    shared: bool,
+    /// It ends the job.
+    finishes: bool,
     starts: Vec<(MachineId, Session, Command)>,
     /// Ends that are learned from once they are written down.
     ends: Vec<(TaskId, MachineId, Exit)>,
@@ -140,6 +149,9 @@
             chunks: BTreeMap::new(),
             places: false,
             blocks: BTreeMap::new(),
+            fenced: false,
+            shared: false,
+            finishes: false,
             starts: Vec::new(),
             ends: Vec::new(),
         })
@@ -268,6 +280,9 @@
             return;
         }
         self.settle_blocks().await;
+        // Changes of the state service are scarce: what is planned only when one
+        // may be made is not outdated when it is sent.
+        let wait = self.store.commit_wait(Urgency::Place);
         let (changes, stops) = {
             let book = self.store.book();
             let Some(seat) = self.own_seat(&book) else {
@@ -276,15 +291,22 @@
             let mut state = lock(&self.holder);
             let now = Instant::now();
             let mut changes = Changes::default();
-            self.collect_results(&mut state, &book, now, &mut changes);
-            if self.store.is_reachable() {
-                self.place_offers(&mut state, &book, seat, now, &mut changes);
+            if wait.is_none() {
+                self.collect_results(&mut state, &book, now, &mut changes);
+                if self.store.is_reachable() {
+                    self.place_offers(&mut state, &book, seat, now, &mut changes);
+                }
             }
             (changes, self.collect_stops(&mut state, &book, now))
         };
         for (machine, commands) in stops {
             self.send_orders(machine, None, commands);
         }
+        if let Some(wait) = wait {
+            self.pause(wait).await;
+            self.holder_kick.notify_one();
+            return;
+        }
         self.commit_changes(changes).await;
     }
 
@@ -517,6 +539,12 @@
                     Outcome::Ended(Exit::Done) => record.complete(index),
                     _ => record.unplace(index),
                 }
+                if outcome == Outcome::Gone
+                    && let Some((block, kept)) = self.own_block_of(book, &placement.machine)
+                {
+                    change.fenced = true;
+                    change.blocks.insert(block, kept.mark);
+                }
                 if let Outcome::Ended(exit) = outcome {
                     let task = TaskId::new(id.clone(), index);
                     change.ends.push((task, placement.machine.clone(), exit));
@@ -720,6 +748,7 @@
                     .chunk(Some(job), task)
                     .place(task, machine.clone(), session);
                 change.places = true;
+                change.fenced = true;
                 change.blocks.insert(block, kept.mark);
                 let task = TaskId::new(id.clone(), task);
                 let start = Command::Start { task, attempt };
@@ -862,6 +891,8 @@
         stops.into_iter().collect()
     }
 
+    /// Writes what it can of the changes: the most pressing first, and no more
+    /// than the state service's limits allow now. The rest is planned again.
     async fn commit_changes(self: &Arc<Self>, changes: Changes) {
         let mut parts: Vec<(Transaction, JobChange)> = Vec::new();
         let seat = {
@@ -869,40 +900,80 @@
             let Some(seat) = self.own_seat(&book).map(|kept| kept.mark) else {
                 return;
             };
-            for (_, change) in changes.0 {
-                if let Some(transaction) = self.write_job(&book, &change) {
+            for (_, mut change) in changes.0 {
+                if let Some(transaction) = self.write_job(&book, &mut change) {
                     parts.push((transaction, change));
                 }
             }
+            parts.sort_by_cached_key(|(_, change)| {
+                let job = book.jobs.get(&change.id);
+                let spec = job.and_then(|job| job.spec());
+                let pressing = match spec {
+                    _ if change.finishes => 1,
+                    Some(spec) if change.places && spec.priority == Priority::Production => 0,
+                    _ if change.places => 2,
+                    _ => 3,
+                };
+                (pressing, spec.map_or(0, |spec| spec.accepted_ms))
+            });
             seat
         };
-        // Placements first: a result can wait, a user can not.
-        parts.sort_by_key(|(_, change)| !change.places);
-        let mut rest = parts.into_iter().peekable();
-        while rest.peek().is_some() {
-            let mut group: Vec<(Transaction, JobChange)> = Vec::new();
-            let (mut ops, mut conditions) = (0, 1);
-            while let Some((part, _)) = rest.peek() {
-                ops += part.ops.len();
-                conditions += part.conditions.len();
-                if !group.is_empty()
-                    && (ops > self.config.txn_ops.min(RECORDS_PER_COMMIT)
-                        || conditions > 4 * self.config.txn_ops)
-                {
-                    break;
-                }
-                group.extend(rest.next());
-            }
+        while !parts.is_empty() {
+            let group = self.next_group(&mut parts);
             if !self.commit_group(seat, group).await {
                 return;
             }
+            if !parts.is_empty() && self.store.commit_wait(Urgency::Place).is_some() {
+                self.holder_kick.notify_one();
+                return;
+            }
         }
     }
 
+    /// The first part with others that go in one transaction with it. One that
+    /// may well be refused goes alone: all that is in a refused transaction counts
+    /// against the limit of changes.
+    fn next_group(
+        &self,
+        parts: &mut Vec<(Transaction, JobChange)>,
+    ) -> Vec<(Transaction, JobChange)> {
+        let first = parts.remove(0);
+        let (fenced, shared) = (first.1.fenced, first.1.shared);
+        let mut ops = first.0.ops.len();
+        let mut conditions = 1 + first.0.conditions.len();
+        let mut group = vec![first];
+        if shared {
+            return group;
+        }
+        let most = self.config.txn_ops.min(RECORDS_PER_COMMIT);
+        let mut at = 0;
+        while at < parts.len() && ops < most {
+            let (part, change) = &parts[at];
+            if change.fenced == fenced
+                && !change.shared
+                && ops + part.ops.len() <= most
+                && conditions + part.conditions.len() <= 4 * self.config.txn_ops
+            {
+                ops += part.ops.len();
+                conditions += part.conditions.len();
+                group.push(parts.remove(at));
+            } else {
+                at += 1;
+            }
+        }
+        group
+    }
+
     /// The transaction part for one job, without the seat's condition.
-    fn write_job(&self, book: &Book, change: &JobChange) -> Option<Transaction> {
+    fn write_job(&self, book: &Book, change: &mut JobChange) -> Option<Transaction> {
         let job = book.jobs.get(&change.id)?;
         let spec = job.spec();
+        change.shared = change.chunks.keys().any(|chunk| {
+            let kept = job.chunks.get(chunk);
+            let placed = kept.iter().flat_map(|kept| kept.value.placed.values());
+            let mut others = placed.map(|placement| &placement.machine);
+            others.any(|machine| self.own_block_of(book, machine).is_none())
+        });
         let mut part = Transaction::default();
         let mut finished = false;
         for (chunk, record) in &change.chunks {
@@ -910,7 +981,11 @@
             finished = spec
                 .is_some_and(|spec| spec.tasks <= keys::CHUNK && record.done_count() >= spec.tasks);
         }
+        for (block, mark) in &change.blocks {
+            part = part.require(keys::block(*block), *mark);
+        }
         if finished && job.draining.is_none() {
+            change.finishes = true;
             // The end of a job of one record takes its keys with it.
             let fate = FateRecord {
                 fate: Fate::Done,
@@ -931,9 +1006,6 @@
             part = part
                 .require(keys::fate(&change.id), Revision(0))
                 .require(keys::spec(&change.id), job.spec.as_ref()?.mark);
-            for (block, mark) in &change.blocks {
-                part = part.require(keys::block(*block), *mark);
-            }
             if spec.one_zone || spec.spread {
                 // What these allow depends on all of the job's other tasks.
                 for chunk in 0..spec.tasks.div_ceil(keys::CHUNK) {
@@ -955,7 +1027,11 @@
     ) -> bool {
         let seat_key = keys::seat(&self.config.node);
         while !group.is_empty() {
-            let mut whole = Transaction::default().require(seat_key.clone(), seat);
+            let fenced = group.iter().any(|(_, change)| change.fenced);
+            let mut whole = Transaction::default();
+            if fenced {
+                whole = whole.require(seat_key.clone(), seat);
+            }
             for (part, _) in &group {
                 whole.absorb(part.clone());
             }
@@ -981,7 +1057,7 @@
                 }
                 Err(error) => {
                     tracing::debug!(%error, "commit failed");
-                    if error.is_unknown() {
+                    if error.is_unknown() && fenced {
                         lock(&self.holder).refence = true;
                     }
                     self.pause(Duration::from_millis(100)).await;
--- a/src/coordination/leader/blocks.rs
+++ b/src/coordination/leader/blocks.rs
@@ -40,6 +40,10 @@
 const STEP: f64 = 0.01;
 /// What a seat is given, of what it lacks.
 const AMPLE: f64 = 1.5;
+/// ... at least this part of what nobody has.
+const POOLED: f64 = 0.15;
+/// Part of its unused budget that a seat gives up when others lack some.
+const TAKEN: f64 = 0.5;
 /// Part of a limit below which what is over is kept for those who ask.
 const SPREAD: f64 = 0.1;
 
@@ -492,9 +496,15 @@
             for (node, short) in &lacking {
                 // More than it lacks now, since a change of its seat voids the
                 // placements that it has under way.
+                let ample = |short: f64, slack: f64| {
+                    if short <= STEP {
+                        return 0.0;
+                    }
+                    (short * AMPLE).max(slack * POOLED).min(slack)
+                };
                 let part = Quota {
-                    cpus: (short.cpus * AMPLE).min(slack.cpus),
-                    gpus: (short.gpus * AMPLE).min(slack.gpus),
+                    cpus: ample(short.cpus, slack.cpus),
+                    gpus: ample(short.gpus, slack.gpus),
                 };
                 if part.cpus > STEP || part.gpus > STEP {
                     give(&mut self.seats, node, part);
@@ -530,13 +540,21 @@
                 continue;
             };
             let unused = budget.minus(&use_of(node)).at_least_zero();
+            // What is taken beyond the need is there for the next that lacks some,
+            // with one change of one seat.
+            let half = |unused: f64, unmet: f64| {
+                if unmet <= STEP {
+                    return 0.0;
+                }
+                unmet.max(unused * TAKEN).min(unused)
+            };
             let part = Quota {
-                cpus: unused.cpus.min(unmet.cpus),
-                gpus: unused.gpus.min(unmet.gpus),
+                cpus: half(unused.cpus, unmet.cpus),
+                gpus: half(unused.gpus, unmet.gpus),
             };
             if part.cpus > STEP || part.gpus > STEP {
                 *budget = budget.minus(&part);
-                unmet = unmet.minus(&part);
+                unmet = unmet.minus(&part).at_least_zero();
             }
         }
     }
--- a/src/storage/budget.rs
+++ b/src/storage/budget.rs
@@ -156,6 +156,13 @@
         ))
     }
 
+    /// How long a call would have to wait now; none: not at all. What is planned
+    /// after the wait is planned on newer knowledge than what waits when it is
+    /// ready to be sent.
+    pub fn wait(&self, urgency: Urgency) -> Option<Duration> {
+        self.take(0.0, urgency).err()
+    }
+
     pub async fn acquire(&self, amount: f64, urgency: Urgency) {
         while let Err(wait) = self.take(amount, urgency) {
             tokio::time::sleep(wait).await;
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -260,6 +260,12 @@
         self.writes.filled()
     }
 
+    /// How long a commit would have to wait now for the service's limits.
+    pub fn commit_wait(&self, urgency: Urgency) -> Option<Duration> {
+        let requests = self.requests.wait(urgency);
+        requests.max(self.writes.wait(urgency))
+    }
+
     pub fn book(&self) -> MutexGuard<'_, Book> {
         lock(&self.book)
     }
