--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -35,6 +35,7 @@
             fleet,
             stats,
             unplaced,
+            tally,
             since,
             ..
         } = state;
@@ -79,6 +80,7 @@
                 up.contains(id)
             });
             wanted = self.periodic(&market, fleet, stats, (unplaced, &need), machines);
+            tracing::info!(?tally, "waiting tasks");
         } else if remedy_due {
             fleet.last_remedy = Some(now);
             // Exception to section 5.4, see docs/DESIGN.md: a job of many tasks
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -49,6 +49,7 @@
     clearing: routing::Clearing,
     bound: routing::Bound,
     unplaced: Vec<routing::Unplaced>,
+    tally: routing::Tally,
     short: BTreeMap<(NodeName, TeamName), Quota>,
     moving: BTreeMap<BlockId, (NodeName, Instant)>,
     pub(super) returning: BTreeMap<MachineId, fleet::Return>,
@@ -392,6 +393,7 @@
                 let mut state = lock(&self.leader);
                 state.offered.clear();
                 state.unplaced.clear();
+                state.tally = Default::default();
                 state.short.clear();
                 return;
             }
@@ -458,6 +460,7 @@
             let mut routed = routing.run();
             state.short = std::mem::take(&mut routed.short);
             state.unplaced = std::mem::take(&mut routed.unplaced);
+            state.tally = routed.tally;
             if !state.short.is_empty() {
                 self.leader_kick.notify_one();
             }
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -32,8 +32,24 @@
     pub overdue: bool,
 }
 
+/// What became of the waiting tasks in one pass, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub offered: usize,
+    /// Under way to holders since an earlier pass.
+    pub under_way: usize,
+    /// Beyond their team's limit.
+    pub limited: usize,
+    /// With room somewhere, which a next pass gives them.
+    pub covered: usize,
+    pub unplaced: usize,
+    /// Left for a next pass.
+    pub left: usize,
+}
+
 #[derive(Debug, Default)]
 pub struct Routed {
+    pub tally: Tally,
     pub offers: BTreeMap<NodeName, Vec<Offer>>,
     pub unplaced: Vec<Unplaced>,
     pub short: BTreeMap<(NodeName, TeamName), Quota>,
@@ -240,8 +256,14 @@
             } else if routed.offered < TASKS_PER_PASS && jobs < JOBS_PER_PASS {
                 jobs += 1;
                 self.route_job(&candidate, &mut used, &mut routed);
+            } else {
+                routed.tally.left += candidate.job.waiting() as usize;
             }
         }
+        routed.tally.offered = routed.offered;
+        routed.tally.unplaced = routed.unplaced.iter().map(|u| u.tasks as usize).sum();
+        routed.tally.under_way =
+            self.offered.values().map(BTreeMap::len).sum::<usize>() - routed.offered;
         routed
     }
 
@@ -380,6 +402,7 @@
                 return;
             }
             // More machines would not help those beyond the limit.
+            routed.tally.limited += tasks.len() - within;
             self.clear_quota(candidate, tasks[within], routed);
             tasks.truncate(within);
         }
@@ -567,6 +590,7 @@
         } else {
             self.lacking(candidate, tasks, used, routed)
         };
+        routed.tally.covered += covered;
         let mut unplaced = 0;
         for task in tasks.iter().skip(covered) {
             if unplaced == 0 && self.clear_room(candidate, *task, routed) {
