Tasks of machines that are gone are placed again with one change of their record

The chaos test found a record changed twice in one transaction, of a cancelled job on lost machines; guarded.

--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -697,7 +697,7 @@
                     let now_written = written
                         .and_then(|change| change.chunks.get(&(task / keys::CHUNK)))
                         .is_some_and(|record| {
-                            record.is_done(*task) || record.placed.contains_key(task)
+                            record.is_done(*task) || record.placed.get(task) != job.recorded(*task)
                         });
                     *task < spec.tasks
                         && job.placement(*task).is_none()
@@ -789,9 +789,9 @@
         // A task that was placed before may still be listed by a machine, which
         // would refuse it: such tasks look at each machine by themselves.
         let (again, fresh): (Vec<u32>, Vec<u32>) = tasks.iter().partition(|task| {
-            job.chunks
-                .get(&(**task / keys::CHUNK))
-                .is_some_and(|kept| kept.value.before.contains_key(task))
+            job.chunks.get(&(**task / keys::CHUNK)).is_some_and(|kept| {
+                kept.value.before.contains_key(task) || kept.value.placed.contains_key(task)
+            })
         });
         let mut chosen = Vec::with_capacity(tasks.len());
         for task in again {
@@ -972,7 +972,9 @@
             let kept = job.chunks.get(chunk);
             let placed = kept.iter().flat_map(|kept| kept.value.placed.values());
             let mut others = placed.map(|placement| &placement.machine);
-            others.any(|machine| self.own_block_of(book, machine).is_none())
+            others.any(|machine| {
+                book.machines.contains_key(machine) && self.own_block_of(book, machine).is_none()
+            })
         });
         let mut part = Transaction::default();
         let mut finished = false;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -26,6 +26,9 @@
 const MOST_PAUSE: Duration = Duration::from_millis(200);
 /// Changes in one commit at most, for the service's 64 KiB.
 const OPS_PER_COMMIT: usize = 12;
+/// Tasks that went with their machine and found no other place for this long are
+/// written down as waiting.
+const FREED_AFTER: Duration = Duration::from_secs(10);
 /// Transactions of a pass of cleaning up.
 const PARTS: usize = 24;
 
@@ -50,6 +53,8 @@
     bound: routing::Bound,
     unplaced: Vec<routing::Unplaced>,
     tally: routing::Tally,
+    /// Machines that are gone with tasks on them, since when.
+    lost_since: BTreeMap<MachineId, Instant>,
     short: BTreeMap<(NodeName, TeamName), Quota>,
     moving: BTreeMap<BlockId, (NodeName, Instant)>,
     pub(super) returning: BTreeMap<MachineId, fleet::Return>,
@@ -299,7 +304,8 @@
                 // Its fate was written with the drain key, so that nothing is
                 // placed after that; what was placed before it the book holds
                 // only once it has passed that revision.
-                if job.draining.is_some_and(|mark| mark <= book.revision) && job.placed == 0 {
+                let gone = job.placed == 0 || (caught_up && job.present() == 0);
+                if job.draining.is_some_and(|mark| mark <= book.revision) && gone {
                     let mut part = Transaction::default();
                     for chunk in job.chunks.keys().take(most - 2) {
                         part = part.remove(keys::run(id, *chunk));
@@ -329,7 +335,8 @@
                 }
             }
             if caught_up {
-                self.free_places(&book, &mut parts);
+                let mut state = lock(&self.leader);
+                self.free_places(&book, &mut state.lost_since, &mut parts);
             }
         }
         let more = parts.len() >= PARTS / 2;
@@ -353,11 +360,24 @@
     }
 
     /// Places of tasks whose machines are gone: their records went after their
-    /// return was answered, so that all that was on them is gone.
-    fn free_places(&self, book: &Book, parts: &mut Vec<Transaction>) {
+    /// return was answered, so that all that was on them is gone. Such tasks wait
+    /// at once, and their next placement replaces the old one; what has found none
+    /// for a while uses quota for nothing and is freed here.
+    fn free_places(
+        &self,
+        book: &Book,
+        since: &mut BTreeMap<MachineId, Instant>,
+        parts: &mut Vec<Transaction>,
+    ) {
+        let now = Instant::now();
+        since.retain(|machine, _| book.on_machine.contains_key(machine));
         let mut lost: BTreeMap<(&JobId, u32), Vec<u32>> = BTreeMap::new();
         for (machine, load) in &book.on_machine {
             if !book.machines.contains_key(machine) {
+                let at = *since.entry(machine.clone()).or_insert(now);
+                if now.duration_since(at) < FREED_AFTER {
+                    continue;
+                }
                 for task in load.tasks.keys() {
                     lost.entry((&task.job, task.index / keys::CHUNK))
                         .or_default()
@@ -369,7 +389,12 @@
             if parts.len() >= PARTS {
                 return;
             }
-            let Some(kept) = book.jobs.get(id).and_then(|job| job.chunks.get(&chunk)) else {
+            let Some(job) = book.jobs.get(id) else {
+                continue;
+            };
+            // Of a job that is over the whole record goes, perhaps in this very
+            // pass; no transaction may change a key twice.
+            let Some(kept) = job.chunks.get(&chunk).filter(|_| job.draining.is_none()) else {
                 continue;
             };
             tracing::debug!(job = %id, ?tasks, "gone with their machines");
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -212,7 +212,9 @@
     let placed = records().flat_map(|record| record.placed.values());
     let ended = records().flat_map(|record| record.before.values());
     match placed.map(|placement| placement.attempt).min() {
-        Some(attempt) => job.done == 0 && ended.max().is_none_or(|last| *last < attempt),
+        Some(attempt) => {
+            job.done == 0 && job.lost.is_empty() && ended.max().is_none_or(|last| *last < attempt)
+        }
         None => true,
     }
 }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -212,12 +212,12 @@
 
 fn current(job: &Job) -> JobStatus {
     JobStatus {
-        state: if job.placed > 0 {
+        state: if job.present() > 0 {
             JobState::Running
         } else {
             JobState::Queued
         },
         done: job.done,
-        running: job.placed,
+        running: job.present(),
     }
 }
--- a/src/storage/book.rs
+++ b/src/storage/book.rs
@@ -35,6 +35,9 @@
     pub draining: Option<Revision>,
     pub placed: u32,
     pub done: u32,
+    /// Placed tasks whose machines are gone: they went out of their rental only
+    /// after their return was answered, or are known to be no more.
+    pub lost: BTreeSet<u32>,
 }
 
 impl Job {
@@ -48,7 +51,22 @@
             .map_or(Revision(0), |kept| kept.mark)
     }
 
+    /// Placed tasks that are, or may be, on a machine.
+    pub fn present(&self) -> u32 {
+        self.placed.saturating_sub(self.lost.len() as u32)
+    }
+
+    /// Where a task is, or may be. One that is gone with its machine waits again:
+    /// its next placement replaces the old one with one change of its record.
     pub fn placement(&self, task: u32) -> Option<&Placement> {
+        if self.lost.contains(&task) {
+            return None;
+        }
+        self.recorded(task)
+    }
+
+    /// What the record says of a task, wherever that machine is now.
+    pub fn recorded(&self, task: u32) -> Option<&Placement> {
         self.chunks
             .get(&(task / keys::CHUNK))?
             .value
@@ -64,7 +82,7 @@
 
     pub fn waiting(&self) -> u32 {
         match (&self.spec, self.draining) {
-            (Some(spec), None) => spec.value.tasks.saturating_sub(self.placed + self.done),
+            (Some(spec), None) => spec.value.tasks.saturating_sub(self.present() + self.done),
             _ => 0,
         }
     }
@@ -86,7 +104,8 @@
                 if found.len() >= most {
                     return found;
                 }
-                if !record.placed.contains_key(&task) && !record.is_done(task) {
+                let there = record.placed.contains_key(&task) && !self.lost.contains(&task);
+                if !there && !record.is_done(task) {
                     found.push(task);
                 }
             }
@@ -478,10 +497,18 @@
     }
 
     fn replace_rental(&mut self, name: RentName, record: Option<Kept<RentalRecord>>) {
-        if let Some(old) = self.rentals.remove(&name) {
-            for machine in old.value.machines.keys() {
-                self.machines.remove(machine);
-            }
+        let old = self.rentals.remove(&name);
+        let before = old.as_ref().map(|kept| &kept.value.machines);
+        let after = record.as_ref().map(|kept| &kept.value.machines);
+        let in_one = |machine: &MachineId, other: Option<&BTreeMap<MachineId, _>>| {
+            other.is_none_or(|machines| !machines.contains_key(machine))
+        };
+        let gone = before.into_iter().flat_map(BTreeMap::keys);
+        let gone: Vec<MachineId> = gone.filter(|id| in_one(id, after)).cloned().collect();
+        let new = after.into_iter().flat_map(BTreeMap::keys);
+        let new: Vec<MachineId> = new.filter(|id| in_one(id, before)).cloned().collect();
+        for machine in &gone {
+            self.machines.remove(machine);
         }
         if let Some(kept) = record {
             let rental = &kept.value;
@@ -498,6 +525,27 @@
             }
             self.rentals.insert(name, kept);
         }
+        for (machines, lost) in [(&gone, true), (&new, false)] {
+            for machine in machines {
+                self.note_lost(machine, lost);
+            }
+        }
+    }
+
+    /// The tasks of a machine that has gone, or has become known, wait or do not.
+    fn note_lost(&mut self, machine: &MachineId, lost: bool) {
+        let tasks = self.on_machine.get(machine).into_iter();
+        let tasks: Vec<TaskId> = tasks.flat_map(|l| l.tasks.keys().cloned()).collect();
+        for task in tasks {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                if lost {
+                    job.lost.insert(task.index);
+                } else {
+                    job.lost.remove(&task.index);
+                }
+            }
+            self.index(&task.job);
+        }
     }
 
     /// The job's spec has come after its runs: their use is counted now.
@@ -561,6 +609,13 @@
                 }
             }
         }
+        let range = chunk * keys::CHUNK..(chunk + 1) * keys::CHUNK;
+        job.lost.retain(|task| !range.contains(task));
+        for (task, placement) in after {
+            if !self.machines.contains_key(&placement.machine) {
+                job.lost.insert(*task);
+            }
+        }
         if let Some(record) = record {
             job.chunks.insert(chunk, record);
         }
@@ -661,6 +716,11 @@
         use rand::{Rng, SeedableRng};
         let mut dice = rand::rngs::StdRng::seed_from_u64(7);
         let mut book = Book::default();
+        let rental = |machines: u32| {
+            let names = (0..machines).map(|n| (format!("vm-{n}"), Value::Null));
+            json!({"t": "x", "z": "z", "s": false, "at": 0,
+                "m": names.collect::<serde_json::Map<_, _>>()})
+        };
         let spec = |team: &str, cpus: f64| {
             json!({"class": "c", "team": team, "kind": "Array", "priority": "Normal",
                 "tasks": 9, "per_task": {"cpus": cpus, "gpus": 0.0, "memory": 0.7},
@@ -676,6 +736,10 @@
                     let value = spec(team, 1.5 + f64::from(job));
                     book.set(&format!("spec/job-{job}"), value, Revision(mark));
                 }
+                2 if dice.random_bool(0.1) => {
+                    let value = rental(dice.random_range(0..5));
+                    book.set("machine/r-1", value, Revision(mark));
+                }
                 1 if dice.random_bool(0.2) => {
                     book.drop_key(&format!("run/job-{job}/0"), Revision(mark));
                 }
@@ -706,11 +770,52 @@
                 assert!((sum - cpus).abs() < 1e-9);
             }
             for (id, job) in &book.jobs {
+                let placed = job.chunks.values().flat_map(|k| k.value.placed.values());
+                let there = placed.filter(|p| book.machines.contains_key(&p.machine));
+                assert_eq!(there.count() as u32, job.present());
                 assert_eq!(book.waiting.contains(id), job.waiting() > 0);
             }
         }
     }
 
+    /// Guards against tasks that wait for a change of their own, which only says
+    /// that their machine is gone, before they are placed elsewhere.
+    #[test]
+    fn tasks_of_a_machine_that_is_gone_wait_at_once() {
+        let mut book = Book::default();
+        let rental = |machines: &[&str]| {
+            let machines: serde_json::Map<String, Value> = machines
+                .iter()
+                .map(|id| ((*id).to_owned(), Value::Null))
+                .collect();
+            json!({"t": "x", "z": "z", "s": false, "at": 0, "m": machines})
+        };
+        let id = JobId::new("job-1");
+        // Runs are read before rentals at a start.
+        book.set(
+            "run/job-1/0",
+            json!({"p": {"0": {"a": 1, "m": "vm-1", "s": 1}, "1": {"a": 4, "m": "vm-2", "s": 1}}}),
+            Revision(5),
+        );
+        assert_eq!(book.jobs[&id].present(), 0);
+        book.set("machine/r-1", rental(&["vm-1", "vm-2"]), Revision(2));
+        assert_eq!(book.jobs[&id].present(), 2);
+        assert!(book.jobs[&id].placement(1).is_some());
+        book.set("machine/r-1", rental(&["vm-1"]), Revision(7));
+        assert_eq!(book.jobs[&id].present(), 1);
+        assert!(book.jobs[&id].placement(1).is_none());
+        assert!(book.jobs[&id].placement(0).is_some());
+        // The next placement takes the place of the old one, with a new attempt.
+        let mut record = book.jobs[&id].chunks[&0].value.clone();
+        let attempt = record.place(1, MachineId::new("vm-1"), Session(1));
+        assert_eq!(attempt, Attempt(5));
+        let value = serde_json::to_value(&record).expect("plain data");
+        book.set("run/job-1/0", value, Revision(8));
+        assert_eq!(book.jobs[&id].present(), 2);
+        book.drop_key("machine/r-1", Revision(9));
+        assert_eq!(book.jobs[&id].present(), 0);
+    }
+
     #[test]
     fn waiting_tasks_are_neither_placed_nor_done() {
         let mut book = Book::default();
@@ -719,6 +824,8 @@
             json!({"p": {"1": {"a": 1, "m": "vm-1", "s": 1}}, "d": [[3, 4]]}),
             Revision(5),
         );
+        let rental = json!({"t": "x", "z": "z", "s": false, "at": 0, "m": {"vm-1": null}});
+        book.set("machine/r-1", rental, Revision(4));
         let job = book.jobs.get_mut(&JobId::new("job-1")).expect("a job");
         job.spec = Some(Kept {
             mark: Revision(1),
