--- a/src/coordination/leader/blocks.rs
+++ b/src/coordination/leader/blocks.rs
@@ -30,6 +30,9 @@
     pub marked: BTreeSet<MachineId>,
     /// Machines whose holder has lost them while this controller hears them.
     pub stranded: BTreeMap<MachineId, NodeName>,
+    /// Controllers that have lately lost machines of theirs: they get no new ones
+    /// as long as there are others.
+    pub shunned: BTreeSet<NodeName>,
     /// Quota that a controller lacks for tasks that it has room for.
     pub short: BTreeMap<(NodeName, TeamName), Quota>,
     /// Blocks that one commit may change.
@@ -52,6 +55,7 @@
     seats: BTreeMap<NodeName, SeatRecord>,
     blocks: BTreeMap<BlockId, BlockRecord>,
     alive: Vec<NodeName>,
+    shunned: &'a BTreeSet<NodeName>,
     /// Blocks changed in this pass, at most `most`; what is left comes in the next.
     touched: BTreeSet<BlockId>,
     most: usize,
@@ -115,6 +119,7 @@
         seats: seats.collect(),
         blocks: blocks.collect(),
         alive: book.nodes.keys().cloned().collect(),
+        shunned: &hints.shunned,
         touched: BTreeSet::new(),
         most: hints.most.max(2),
         load,
@@ -169,10 +174,10 @@
             .filter_map(|node| {
                 let near = self.book.nodes.get(node)?.value.zone == *zone;
                 let load = self.load.get(node).copied().unwrap_or(0);
-                Some((!near, load, node))
+                Some((self.shunned.contains(node), !near, load, node))
             })
             .min()
-            .map(|(_, _, node)| node.clone())
+            .map(|(_, _, _, node)| node.clone())
     }
 
     fn hand_over(&mut self, id: BlockId, to: &NodeName) {
--- a/src/coordination/leader/fleet/faults.rs
+++ b/src/coordination/leader/fleet/faults.rs
@@ -43,6 +43,13 @@
 /// Looks are forgotten after this time without another.
 const REACHED_LIFE: Duration = Duration::from_secs(12);
 
+/// A holder that has lost this many machines of a block, and one of so many of all
+/// in it, has lost the block.
+const LOST_LEAST: usize = 3;
+const LOST_PART: usize = 6;
+/// A controller that lost a block gets no others for this long.
+const SHUNNED: Duration = Duration::from_secs(30);
+
 /// Silent machines that all controllers look at, at a time. Each look takes a
 /// socket of every controller for up to a second.
 const VERIFIED_AT_ONCE: usize = 96;
@@ -258,7 +265,7 @@
             }
         }
         self.look_from_others(state, to_reach, now);
-        state.stranded = stranded;
+        state.stranded = Self::move_lost_blocks(book, state, stranded, now);
         state.fleet.refusing = refusing;
         for (id, reason) in found {
             if !state.returning.contains_key(&id) {
@@ -281,6 +288,50 @@
         to_verify
     }
 
+    /// Blocks of which their holder has lost a good part go as a whole to the
+    /// controller that has most of these: one by one, each machine would cost two
+    /// changes of its block, and each of these a new token for all of its machines.
+    /// Returns the machines that are to move by themselves.
+    fn move_lost_blocks(
+        book: &Book,
+        state: &mut LeaderState,
+        mut stranded: BTreeMap<MachineId, NodeName>,
+        now: Instant,
+    ) -> BTreeMap<MachineId, NodeName> {
+        state
+            .fleet
+            .shunned
+            .retain(|_, at| now.duration_since(*at) < SHUNNED);
+        if stranded.is_empty() {
+            return stranded;
+        }
+        for (id, kept) in &book.blocks {
+            let block = &kept.value;
+            let mut targets: BTreeMap<&NodeName, usize> = BTreeMap::new();
+            for machine in block.machines.keys() {
+                if let Some(target) = stranded.get(machine) {
+                    *targets.entry(target).or_default() += 1;
+                }
+            }
+            let lost: usize = targets.values().sum();
+            if lost < LOST_LEAST || lost * LOST_PART < block.machines.len() {
+                continue;
+            }
+            let Some((target, _)) = targets.into_iter().max_by_key(|(_, count)| *count) else {
+                continue;
+            };
+            let target = target.clone();
+            state.fleet.shunned.insert(block.node.clone(), now);
+            stranded.retain(|machine, _| !block.machines.contains_key(machine));
+            if !state.moving.contains_key(id) {
+                tracing::info!(block = %id, from = %block.node, to = %target, lost,
+                    "its holder has lost it");
+                state.moving.insert(*id, (target, now));
+            }
+        }
+        stranded
+    }
+
     /// Asks controllers that hear a machine, which its holder does not, whether
     /// they reach it too. Its reports may arrive while nothing reaches it: moved to
     /// whom it reports, it would go round all controllers and answer to none.
@@ -379,7 +430,10 @@
             let near = book.nodes.get(&block.node).map(|kept| &kept.value.zone) == Some(zone);
             let count = load(&block.node);
             for (other, record) in &book.nodes {
-                if *other == block.node || !settled(other) {
+                if *other == block.node
+                    || !settled(other)
+                    || state.fleet.shunned.contains_key(other)
+                {
                     continue;
                 }
                 let theirs = load(other);
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -84,6 +84,8 @@
     verifying: BTreeMap<MachineId, Instant>,
     /// Machines heard by others than their holder, and who reaches them.
     reached: BTreeMap<MachineId, faults::Look>,
+    /// Controllers that have lost blocks of theirs, since when.
+    pub shunned: BTreeMap<NodeName, Instant>,
     unknown: BTreeMap<MachineId, Instant>,
     /// Names are never used again: what speaks under one of these is a copy.
     returned: BTreeMap<MachineId, Instant>,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -260,6 +260,7 @@
                     .collect::<BTreeSet<_>>(),
                 marked: state.fleet.marked.clone(),
                 stranded: state.stranded.clone(),
+                shunned: state.fleet.shunned.keys().cloned().collect(),
                 short: std::mem::take(&mut state.short),
                 most: self.config.txn_ops.saturating_sub(self.config.nodes() + 1),
             };
