A process that leads again rents under new names; freezes and late commits in the stand-ins

Found by the chaos test with its new fault, a controller that stands still while its clocks run on: a process that led, lost its grant and was elected again began its count of rents anew. The cloud answers a used name with the machines of the first time, their record exists, the commit is refused for good, and nothing is rented any more while one waits for machines on their way. The count now outlives the leadership.

--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -73,7 +73,8 @@
     carried: u32,
     in_flight: BTreeSet<RentName>,
     next_try: BTreeMap<RentName, Instant>,
-    rents: u64,
+    /// Names of rents that this process has used.
+    pub(super) rents: u64,
     last_round: Option<Instant>,
     last_remedy: Option<Instant>,
     last_catalog: Option<Instant>,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -69,12 +69,17 @@
 impl LeaderState {
     pub(super) fn reset(&mut self, _mark: Revision, grant: GrantId) {
         let statuses = std::mem::take(&mut self.statuses);
+        // A process may lead a second time. Names of rents contain its incarnation
+        // and this number, and must never be used again: the cloud would answer
+        // with the machines of the first time, and rent none.
+        let rents = self.fleet.rents;
         *self = Self {
             grant: Some(grant),
             since: Some(Instant::now()),
             statuses,
             ..Self::default()
         };
+        self.fleet.rents = rents;
     }
 
     /// The grant that our claim is attached to from the next refence on. Without
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -64,7 +64,7 @@
         let at = dice.random_range(10.0..120.0);
         let time = dice.random_range(2.0..30.0);
         let node = dice.random_range(0..3);
-        lines.push(match dice.random_range(0..15) {
+        lines.push(match dice.random_range(0..18) {
             0 => format!("at {at:.2} crash all for={:.2}", time / 3.0),
             1 | 2 => format!("at {at:.2} crash leader for={:.2}", time / 4.0),
             3 => format!("at {at:.2} crash n{node} for={time:.2}"),
@@ -80,6 +80,9 @@
                 time * 2.0
             ),
             11 => format!("at {at:.2} copies share=0.4 late=45 for={time:.2}"),
+            13 => format!("at {at:.2} freeze n{node} for={time:.2}"),
+            14 => format!("at {at:.2} freeze leader for={time:.2}"),
+            15 => format!("at {at:.2} state late share=0.3 late=20 for={time:.2}"),
             12 => format!("at {at:.2} crash leader for={:.2}", time / 60.0),
             _ => {
                 let a = sides[dice.random_range(0..sides.len())];
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -281,8 +281,22 @@
                 let world = world.clone();
                 later(time, move || world.set_lossy(0.0));
             }
+            "late" => {
+                world.set_late(number(&words, "share", 0.3), seconds(&words, "late", 5.0));
+                let world = world.clone();
+                later(time, move || world.set_late(0.0, Duration::ZERO));
+            }
             other => panic!("state {other}"),
         },
+        "freeze" => {
+            let names = match parts[1] {
+                "leader" => world.leader().into_iter().collect(),
+                name => vec![name.to_owned()],
+            };
+            for name in names {
+                world.freeze(&name, time);
+            }
+        }
         "cut" => {
             let cut = Cut {
                 a: parts[1].into(),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -98,6 +98,10 @@
     cuts: Mutex<Vec<Cut>>,
     /// Share of the state service's answers that are lost after execution.
     lossy: Mutex<f64>,
+    /// Share of the transactions that are applied late, unanswered, and how late.
+    late: Mutex<(f64, Duration)>,
+    /// Controllers that stand still, until when. Their clocks run on.
+    frozen: Mutex<BTreeMap<String, Instant>>,
     cloud: Mutex<Cloud>,
     faulty: Mutex<BTreeSet<usize>>,
     pub told: Mutex<BTreeMap<JobId, String>>,
@@ -150,6 +154,8 @@
             nodes: Mutex::new(slots),
             cuts: Mutex::default(),
             lossy: Mutex::new(0.0),
+            late: Mutex::new((0.0, Duration::ZERO)),
+            frozen: Mutex::default(),
             cloud: Mutex::default(),
             faulty: Mutex::default(),
             told: Mutex::default(),
@@ -400,6 +406,31 @@
         *self.lossy.lock().expect("lossy") = share;
     }
 
+    pub fn set_late(&self, share: f64, late: Duration) {
+        *self.late.lock().expect("late") = (share, late);
+    }
+
+    pub fn freeze(&self, node: &str, time: Duration) {
+        let until = Instant::now() + time;
+        self.frozen
+            .lock()
+            .expect("frozen")
+            .insert(node.into(), until);
+    }
+
+    /// What a frozen controller was about to say or to hear waits until it goes on.
+    async fn thawed(&self, node: &str) {
+        let until = self.frozen.lock().expect("frozen").get(node).copied();
+        if let Some(until) = until {
+            tokio::time::sleep_until(until).await;
+        }
+    }
+
+    fn is_frozen(&self, node: &str) -> bool {
+        let until = self.frozen.lock().expect("frozen").get(node).copied();
+        until.is_some_and(|until| until > Instant::now())
+    }
+
     pub fn set_cloud(&self, down: bool) {
         self.cloud.lock().expect("cloud").down = down;
     }
@@ -457,6 +488,7 @@
         while self.cut(from, &tags).is_some() {
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
+        self.thawed(name).await;
         let (router, life) = self.router(name)?;
         let request = Request::builder()
             .method(method)
@@ -475,6 +507,8 @@
             .await
             .ok()?;
         tokio::time::sleep(chance::millis(1, 4)).await;
+        // Decided before the freeze, said after it.
+        self.thawed(name).await;
         while self.cut(from, &tags).is_some() {
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
@@ -688,6 +722,16 @@
             }
             return futures::future::pending().await;
         }
+        let (share, late) = *self.world.late.lock().expect("late");
+        if call.path == "/commit" && chance::share(0.0, 1.0) < share {
+            let (world, node) = (self.world.clone(), self.node.clone());
+            let pause = late.mul_f64(chance::share(0.0, 1.0));
+            tokio::spawn(async move {
+                tokio::time::sleep(pause).await;
+                Self::execute(&world, &node, &call).await;
+            });
+            return futures::future::pending().await;
+        }
         let (status, value) = Self::execute(&self.world, &self.node, &call).await;
         tokio::time::sleep(chance::millis(1, 5)).await;
         let lossy = *self.world.lossy.lock().expect("lossy");
@@ -707,10 +751,21 @@
 impl Network for SimNet {
     fn http(&self, call: Call) -> BoxFuture<'_, Result<Reply, SendError>> {
         async move {
+            self.world.thawed(&self.node).await;
             let timeout = call.timeout;
-            tokio::time::timeout(timeout, self.send(call))
-                .await
-                .unwrap_or_else(|_| Err(SendError::NoAnswer("timed out".into())))
+            let sending = self.send(call);
+            tokio::pin!(sending);
+            let mut answer = tokio::time::timeout(timeout, sending.as_mut()).await;
+            if self.world.is_frozen(&self.node) {
+                // Answer and timeout are found together when it goes on; the answer
+                // is looked at first.
+                self.world.thawed(&self.node).await;
+                if answer.is_err() {
+                    let at_once = Duration::from_millis(1);
+                    answer = tokio::time::timeout(at_once, sending.as_mut()).await;
+                }
+            }
+            answer.unwrap_or_else(|_| Err(SendError::NoAnswer("timed out".into())))
         }
         .boxed()
     }
@@ -724,6 +779,8 @@
         async move {
             let exchange = async {
                 tokio::time::sleep(chance::millis(1, 3)).await;
+                self.world.thawed(&self.node).await;
+                self.world.thawed(address).await;
                 let here = self.world.node_tags(&self.node);
                 let there = self.world.node_tags(address);
                 if self.world.cut(&here, &there).is_some()
