--- a/src/main.rs
+++ b/src/main.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing_subscriber::{layer::SubscriberExt, util::SubscriberInitExt};
 
-/// A cluster scheduler for small sites.
+/// A cluster scheduler: a few controllers, one program.
 #[derive(Parser)]
 #[command(version, about)]
 struct Arguments {
