--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -914,7 +914,9 @@
                     _ if change.places => 2,
                     _ => 3,
                 };
-                (pressing, spec.map_or(0, |spec| spec.accepted_ms))
+                // Urgent jobs are young: by age alone they would come last.
+                let priority = std::cmp::Reverse(spec.map(|spec| spec.priority));
+                (pressing, priority, spec.map_or(0, |spec| spec.accepted_ms))
             });
             seat
         };
