A controller cut off stops cancelled jobs by its peers' word and keeps its other tasks

Now a peer that has heard nothing from the state service vouches for nothing, and peers tell the jobs cancelled after the asker's revision, asked only when nobody is served. New frames go only to peers that say they read them; unreadable frames are answered. Ruled out: the 200 that leaves late (leases run from the time a report is sent).

--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -828,8 +828,12 @@
             views, preempting, ..
         } = state;
         let mut wanted: Vec<(TaskId, &Placement)> = Vec::new();
-        for id in &book.ending {
-            let Some(job) = book.jobs.get(id).filter(|job| job.draining.is_some()) else {
+        let ending = book.ending.iter().filter(|id| book.is_cancelled(id));
+        let told = book
+            .told_cancelled()
+            .filter(|id| !book.ending.contains(*id));
+        for id in ending.chain(told) {
+            let Some(job) = book.jobs.get(id) else {
                 continue;
             };
             for (index, placement) in job.chunks.values().flat_map(|kept| &kept.value.placed) {
@@ -877,7 +881,7 @@
             }
             view.stops_sent.insert(task.clone(), now);
             let job = book.jobs.get(&task.job);
-            let cancelled = job.is_some_and(|job| job.draining.is_some());
+            let cancelled = book.is_cancelled(&task.job);
             let spec = job.and_then(|job| job.spec()).map(|spec| &**spec);
             stops
                 .entry(placement.machine.clone())
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -13,6 +13,8 @@
 
 const EVERY: Duration = Duration::from_millis(800);
 const SIGHTINGS: usize = 4_096;
+/// Cancelled jobs told to a peer at a time; more of them it must read for itself.
+const CANCELLATIONS: usize = 8_192;
 
 impl Node {
     /// What a peer is told. The lists of machines are for the leader; the others
@@ -22,6 +24,7 @@
         let mut status = Status {
             node: self.config.node.clone(),
             incarnation: self.config.incarnation,
+            dialect: Dialect::OURS,
             seen: self.store.seen(),
             state_reachable: self.store.is_loaded() && self.store.is_reachable(),
             full,
@@ -90,21 +93,77 @@
                 async move { (name, self.peers.call(name, call).await) }
             });
             let mut agreed = self.store.is_loaded();
+            let mut ahead = Vec::new();
+            // Somebody is served by the state service, so that our machines go, or
+            // have gone, to others: their workers are to find these.
+            let mut served = self.store.is_reachable();
             for (name, answer) in join_all(calls).await {
                 match answer {
                     Ok(PeerAnswer::Status(theirs)) => {
-                        agreed &= theirs.seen <= applied;
+                        // A process that has had no answer of the state service
+                        // since its start can't vouch for what the one before it
+                        // told users. Any answer would have carried a revision
+                        // above all that.
+                        agreed &= theirs.seen > Revision(0);
+                        served |= theirs.state_reachable;
+                        if theirs.seen > applied {
+                            agreed &= theirs.dialect >= Dialect::CANCELLATIONS;
+                            ahead.push(name);
+                        }
                         self.hear(name, theirs, started);
                     }
                     _ => agreed = false,
                 }
             }
+            if agreed && !ahead.is_empty() {
+                agreed = !served && self.catch_up(applied, ahead).await;
+            }
             if agreed {
                 lock(&self.links).nothing_newer = Some(started);
             }
         }
     }
 
+    /// Learns from peers that know of newer revisions than we do which jobs are
+    /// cancelled by these: cut off from the state service, we stop those jobs' tasks
+    /// and need not let all other tasks go with their leases. A peer's word stops a
+    /// task; it never starts one. True if none of their cancellations is unknown to
+    /// us then.
+    async fn catch_up(&self, applied: Revision, ahead: Vec<&NodeName>) -> bool {
+        let calls = ahead.into_iter().map(|name| async move {
+            let call = PeerCall::CancelledSince(applied);
+            self.peers.call(name, call).await
+        });
+        let mut complete = true;
+        for answer in join_all(calls).await {
+            let Ok(PeerAnswer::CancelledSince(told)) = answer else {
+                complete = false;
+                continue;
+            };
+            let Some(jobs) = told.jobs else {
+                complete = false;
+                continue;
+            };
+            let new = self.store.book().note_cancelled(jobs, told.seen);
+            if new > 0 {
+                tracing::info!(jobs = new, "cancelled, by the word of a peer");
+                self.holder_kick.notify_one();
+            }
+        }
+        complete
+    }
+
+    /// The jobs that we know to be cancelled by changes after this revision.
+    fn cancelled_since(&self, revision: Revision) -> Cancellations {
+        let seen = self.store.seen();
+        let jobs = (self.store.is_loaded() && self.store.has_followed_fates()).then(|| {
+            let book = self.store.book();
+            book.cancelled_since(revision)
+        });
+        let jobs = jobs.filter(|jobs| jobs.len() <= CANCELLATIONS);
+        Cancellations { seen, jobs }
+    }
+
     fn hear(&self, name: &NodeName, status: Status, at: Instant) {
         lock(&self.links)
             .heard
@@ -140,6 +199,9 @@
             PeerCall::Probe(address) => {
                 PeerAnswer::Probed(self.workers.inspect(&address).await.is_ok())
             }
+            PeerCall::CancelledSince(revision) => {
+                PeerAnswer::CancelledSince(self.cancelled_since(revision))
+            }
         }
     }
 }
--- a/src/coordination/ports.rs
+++ b/src/coordination/ports.rs
@@ -195,12 +195,26 @@
     pub age: Duration,
 }
 
+/// What a controller can read of its peers, in steps: one that says nothing of it
+/// reads the frames of the first version only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Dialect(pub u64);
+
+impl Dialect {
+    /// Reads [`PeerCall::CancelledSince`], and answers what it cannot read.
+    pub const CANCELLATIONS: Dialect = Dialect(1);
+    /// What this version reads.
+    pub const OURS: Dialect = Self::CANCELLATIONS;
+}
+
 /// What controllers tell each other every second.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Status {
     pub node: NodeName,
     pub incarnation: Incarnation,
-    /// Highest revision that any answer of the state service carried.
+    pub dialect: Dialect,
+    /// Highest revision that any answer of the state service carried; zero: this
+    /// process has had none yet, and can't tell what its predecessor knew.
     pub seen: Revision,
     pub state_reachable: bool,
     /// This and the lists below are told to the leader only.
@@ -227,6 +241,16 @@
     Preempt(Vec<TaskId>),
     /// Is there a worker at this address?
     Probe(String),
+    /// Which jobs do you know to be cancelled by a change after this revision?
+    CancelledSince(Revision),
+}
+
+/// What a controller knows to be cancelled beyond the asker's revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cancellations {
+    pub seen: Revision,
+    /// None: it cannot name all of them.
+    pub jobs: Option<Vec<JobId>>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -234,6 +258,9 @@
     Status(Status),
     Taken,
     Probed(bool),
+    CancelledSince(Cancellations),
+    /// The call is none that this version knows.
+    Unknown,
 }
 
 pub trait PeerPort: Send + Sync {
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -116,7 +116,7 @@
             // Its result is being committed.
             (Some(_), true) => {}
             (Some(_), false) => {
-                let cancelled = job.is_some_and(|job| job.draining.is_some());
+                let cancelled = book.is_cancelled(&task.job);
                 if cancelled || preempting(task, attempt) {
                     others.push(Command::Stop {
                         task: task.clone(),
@@ -146,10 +146,8 @@
             .tasks
             .get(task)
             .is_some_and(|seen| seen.attempt == placement.attempt);
-        let cancelled = book
-            .jobs
-            .get(&task.job)
-            .is_none_or(|job| job.draining.is_some() || job.spec.is_none());
+        let spec = book.jobs.get(&task.job).and_then(|job| job.spec());
+        let cancelled = book.is_cancelled(&task.job) || spec.is_none();
         if !listed
             && !cancelled
             && placement.session == view.session
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -57,6 +57,9 @@
     Offers(Vec<(String, Vec<u32>)>),
     Preempt(Vec<(String, u32)>),
     Probe(String),
+    // From here on only to peers whose dialect has it. A variant must not be larger
+    // than `Status`: the root of an archive is found from its end.
+    CancelledSince(u64),
 }
 
 #[derive(Archive, Serialize, Deserialize, Debug)]
@@ -64,8 +67,15 @@
     Status(WireStatus),
     Taken,
     Probed(bool),
+    // As above.
+    CancelledSince(u64, bool, Vec<String>),
+    Unknown,
 }
 
+/// The dialect rides among the failing jobs: a peer of the first version passes over
+/// names that are no job's. `WireStatus` itself can't grow while such peers live.
+const DIALECT: &str = "dialect";
+
 fn millis(span: Duration) -> u64 {
     span.as_millis().min(u128::from(u32::MAX)) as u64
 }
@@ -113,6 +123,7 @@
                 .failing
                 .into_iter()
                 .map(|(job, pause)| (job.to_string(), millis(pause)))
+                .chain([(DIALECT.to_owned(), status.dialect.0)])
                 .collect(),
         }
     }
@@ -120,9 +131,11 @@
 
 impl From<WireStatus> for Status {
     fn from(wire: WireStatus) -> Self {
+        let dialect = wire.failing.iter().find(|(name, _)| name == DIALECT);
         Status {
             node: NodeName::new(wire.node),
             incarnation: Incarnation(wire.incarnation),
+            dialect: dialect.map_or_else(Dialect::default, |(_, step)| Dialect(*step)),
             seen: Revision(wire.seen),
             state_reachable: wire.state_reachable,
             full: wire.full,
@@ -192,6 +205,7 @@
                 .collect(),
         ),
         PeerCall::Probe(address) => Ask::Probe(address),
+        PeerCall::CancelledSince(revision) => Ask::CancelledSince(revision.0),
     };
     Ok(rkyv::to_bytes::<Error>(&ask)?.to_vec())
 }
@@ -218,6 +232,7 @@
                 .collect(),
         ),
         Ask::Probe(address) => PeerCall::Probe(address),
+        Ask::CancelledSince(revision) => PeerCall::CancelledSince(Revision(revision)),
     })
 }
 
@@ -226,6 +241,13 @@
         PeerAnswer::Status(status) => Tell::Status(status.into()),
         PeerAnswer::Taken => Tell::Taken,
         PeerAnswer::Probed(up) => Tell::Probed(up),
+        PeerAnswer::CancelledSince(Cancellations { seen, jobs }) => {
+            let complete = jobs.is_some();
+            let names = jobs.unwrap_or_default();
+            let names = names.iter().map(ToString::to_string).collect();
+            Tell::CancelledSince(seen.0, complete, names)
+        }
+        PeerAnswer::Unknown => Tell::Unknown,
     };
     Ok(rkyv::to_bytes::<Error>(&tell)?.to_vec())
 }
@@ -236,6 +258,14 @@
         Tell::Status(status) => PeerAnswer::Status(status.into()),
         Tell::Taken => PeerAnswer::Taken,
         Tell::Probed(up) => PeerAnswer::Probed(up),
+        Tell::CancelledSince(seen, complete, names) => {
+            let jobs: Option<Vec<JobId>> = names.iter().map(|name| JobId::parse(name)).collect();
+            PeerAnswer::CancelledSince(Cancellations {
+                seen: Revision(seen),
+                jobs: jobs.filter(|_| complete),
+            })
+        }
+        Tell::Unknown => PeerAnswer::Unknown,
     })
 }
 
@@ -286,6 +316,7 @@
         let status = Status {
             node: NodeName::new("n-0"),
             incarnation: Incarnation(1),
+            dialect: Dialect::OURS,
             seen: Revision(1),
             state_reachable: true,
             full: true,
--- a/src/storage/book.rs
+++ b/src/storage/book.rs
@@ -209,6 +209,9 @@
     /// Jobs that are cancelled, or done with keys still to be removed.
     pub ending: BTreeSet<JobId>,
     leases: HashMap<MachineId, Lease>,
+    /// Jobs that are cancelled by the word of a peer which has seen this revision;
+    /// the watch has not brought it yet.
+    told_cancelled: BTreeMap<JobId, Revision>,
     fates: HashMap<JobId, FateRecord>,
     fate_order: VecDeque<JobId>,
     dropped: HashMap<String, Revision>,
@@ -444,8 +447,47 @@
         }
     }
 
+    /// Whether the job's tasks must go and none may start: its user has cancelled
+    /// it, or it is over and its keys are being removed.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        self.told_cancelled.contains_key(id)
+            || self.jobs.get(id).is_some_and(|job| job.draining.is_some())
+    }
+
+    /// Jobs to be stopped on the word of a peer.
+    pub fn told_cancelled(&self) -> impl Iterator<Item = &JobId> {
+        self.told_cancelled.keys()
+    }
+
+    /// A peer that has seen this revision says that these jobs are cancelled. Those
+    /// that we have not heard of have no tasks of ours. Returns how many are new.
+    pub fn note_cancelled(&mut self, jobs: Vec<JobId>, seen: Revision) -> usize {
+        let mut new = 0;
+        for id in jobs {
+            if seen > self.revision && self.jobs.get(&id).is_some_and(|job| job.draining.is_none())
+            {
+                new += usize::from(self.told_cancelled.insert(id, seen).is_none());
+            }
+        }
+        new
+    }
+
+    /// Jobs cancelled by changes after this revision, as long as anything of them is
+    /// left: of the others no task can be anywhere.
+    pub fn cancelled_since(&self, revision: Revision) -> Vec<JobId> {
+        let draining = self.ending.iter().filter(|id| {
+            let job = self.jobs.get(*id);
+            job.is_some_and(|job| job.draining.is_some_and(|mark| mark > revision))
+        });
+        draining
+            .chain(self.told_cancelled.keys())
+            .cloned()
+            .collect()
+    }
+
     pub fn advance(&mut self, revision: Revision) {
         if revision > self.revision {
+            self.told_cancelled.retain(|_, seen| *seen > revision);
             self.revision = revision;
             self.dropped.retain(|_, at| *at > revision);
         }
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -202,6 +202,8 @@
     fresh_asked: Notify,
     /// Highest revision that any answer carried.
     seen: AtomicU64,
+    /// Highest revision of a fate that was looked up.
+    looked_up: AtomicU64,
     counts: Mutex<Counts>,
     rps: f64,
     write_rps: f64,
@@ -230,6 +232,7 @@
             fresh_waiting: Mutex::default(),
             fresh_asked: Notify::new(),
             seen: AtomicU64::new(0),
+            looked_up: AtomicU64::new(0),
             counts: Mutex::default(),
             rps,
             write_rps,
@@ -317,6 +320,12 @@
         Revision(self.seen.load(Ordering::Relaxed))
     }
 
+    /// The book has caught up with every fate that was looked up ahead of it, so
+    /// that it shows all cancellations that users were told of here.
+    pub fn has_followed_fates(&self) -> bool {
+        self.book().revision.0 >= self.looked_up.load(Ordering::Relaxed)
+    }
+
     /// The state service answers this node.
     pub fn is_reachable(&self) -> bool {
         let failing = *lock(&self.failing_since);
@@ -408,6 +417,9 @@
         let Some(item) = self.get(&keys::fate(job)).await? else {
             return Ok(None);
         };
+        // Before anybody is told of it: peers ask what we have seen.
+        self.saw(item.mark);
+        self.looked_up.fetch_max(item.mark.0, Ordering::Relaxed);
         let fate: FateRecord = serde_json::from_value(item.value)
             .map_err(|error| StateError::Rejected(error.to_string()))?;
         self.book().keep_fate(job.clone(), fate);
@@ -565,6 +577,9 @@
             machines = fresh.machines.len(),
             "read the live set"
         );
+        // Until it is read on, the book may lack commits of our own that were made
+        // while the pages were read, cancellations among them.
+        self.loaded.store(false, Ordering::Relaxed);
         {
             let mut book = self.book();
             fresh.take_fates(&mut book);
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -24,7 +24,7 @@
     sockets::{Sockets, Taken, Use},
 };
 use crate::{
-    coordination::Node,
+    coordination::{Node, ports::PeerAnswer},
     protocol::peers::{self, FRAME_LIMIT},
 };
 
@@ -147,13 +147,15 @@
     }
 }
 
-/// Answers a peer's message; none if it is not one.
+/// Answers a peer's message. One that this version can't read is answered too: a
+/// dropped link would look like a controller that is gone.
 pub async fn answer(node: &Arc<Node>, frame: &[u8]) -> Option<Vec<u8>> {
-    match peers::read_call(frame) {
-        Ok(call) => peers::write_answer(node.answer_peer(call).await).ok(),
+    let answer = match peers::read_call(frame) {
+        Ok(call) => node.answer_peer(call).await,
         Err(error) => {
             tracing::debug!(%error, "a peer's message is passed over");
-            None
+            PeerAnswer::Unknown
         }
-    }
+    };
+    peers::write_answer(answer).ok()
 }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -271,7 +271,13 @@
                 later(time, move || world.state.set_down(false));
             }
             "refuses" => {
-                let node = parts[2].to_owned();
+                let node = match parts[2] {
+                    "leader" => match world.leader() {
+                        Some(leader) => leader,
+                        None => return Ok(()),
+                    },
+                    name => name.to_owned(),
+                };
                 world.state.set_refused(&node, true);
                 let world = world.clone();
                 later(time, move || world.state.set_refused(&node, false));
