--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -25,12 +25,10 @@
     breeds: Option<Vec<String>>,
     #[serde(default)]
     paddock: Option<String>,
-    #[serde(default)]
-    same_place: Option<bool>,
-    #[serde(default)]
-    spread: Option<bool>,
-    #[serde(default)]
-    loaners: Option<bool>,
+    // Not among the fields that may be null, so that a job without them is malformed.
+    same_place: bool,
+    spread: bool,
+    loaners: bool,
     ride_s: f64,
     rest_s: f64,
     saddle_s: f64,
@@ -126,9 +124,9 @@
         image_gb: amount("pull_gb", job.pull_gb)?,
         types,
         zone: job.paddock.map(ZoneName::new),
-        one_zone: job.same_place.unwrap_or(false),
-        spread: job.spread.unwrap_or(false),
-        spot: job.loaners.unwrap_or(false),
+        one_zone: job.same_place,
+        spread: job.spread,
+        spot: job.loaners,
         estimate: span("ride_s", job.ride_s)?,
         checkpoint: span("rest_s", job.rest_s)?,
         save: span("saddle_s", job.saddle_s)?,
--- a/tests/checkers.rs
+++ b/tests/checkers.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use sim::rules::{Event, Place, Rules};
+use sim::rules::{Event, Place, Room, Rules};
 use stallcove::storage::*;
 
 fn spec(spot: bool, spread: bool, one_zone: bool) -> Box<JobSpec> {
@@ -155,6 +155,73 @@
     fired(events, "began_late");
 }
 
+/// A job of two tasks, one of them on a machine, with this room left from the 20th
+/// second on; all troubles are over at the tenth.
+fn watch(spec: Box<JobSpec>, rooms: &[Room], end: u64) -> Vec<String> {
+    let limits = BTreeMap::from([(TeamName::new("team"), 8.0)]);
+    let mut rules = Rules::new(limits, Duration::from_secs(40));
+    let there = [(
+        TaskId::new(job(), 0),
+        Place {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        },
+    )];
+    rules.see(Duration::ZERO, Event::Submitted(job(), spec));
+    rules.see(Duration::ZERO, answer(201, "queued", true));
+    for second in 0..=end {
+        let at = Duration::from_secs(second);
+        if second == 10 {
+            rules.calm(at);
+        }
+        let rooms = if second < 20 { &[] } else { rooms };
+        rules.watch_waiting(at, rooms, &there);
+    }
+    rules.broken
+}
+
+#[test]
+fn waited() {
+    let room = |cpus: f64, zone: &str, spot: bool| Room {
+        place: Place {
+            kind: "small".into(),
+            zone: zone.into(),
+            spot,
+        },
+        cpus,
+        memory: 8.0,
+    };
+    let plain = || spec(false, false, false);
+    let broken = watch(plain(), &[room(4.0, "b", false)], 111);
+    assert!(broken[0].contains("waited: job-1: 1 tasks"), "{broken:?}");
+    let quiet = |spec: Box<JobSpec>, rooms: &[Room], end: u64| {
+        assert_eq!(watch(spec, rooms, end), Vec::<String>::new());
+    };
+    quiet(plain(), &[room(4.0, "b", false)], 110);
+    quiet(plain(), &[], 300);
+    quiet(
+        plain(),
+        &[room(3.0, "b", false), room(3.0, "b", false)],
+        300,
+    );
+    quiet(plain(), &[room(4.0, "b", true)], 300);
+    // Bound to the zone of the other one.
+    quiet(spec(false, false, true), &[room(4.0, "b", false)], 300);
+    quiet(spec(false, true, false), &[room(4.0, "a", false)], 300);
+    let mut large = plain();
+    large.per_task.cpus = 5.0;
+    quiet(large, &[room(8.0, "b", false)], 300);
+}
+
+#[test]
+fn odd() {
+    let answered = |expected, code| Event::OddAnswered("a job".into(), expected, code);
+    fires("odd", vec![(1, answered(400, 201))]);
+    fires("odd", vec![(1, answered(422, 400))]);
+    quiet(vec![(1, answered(422, 422)), (2, answered(400, 503))]);
+}
+
 fn fires(rule: &str, events: Vec<(u64, Event)>) {
     let broken = play(events);
     assert!(
--- a/tests/sim/rules.rs
+++ b/tests/sim/rules.rs
@@ -5,7 +5,9 @@
     time::Duration,
 };
 
-use stallcove::storage::{JobId, JobSpec, MachineId, TaskId, TeamName};
+use stallcove::storage::{
+    JobId, JobKind, JobSpec, MachineId, TaskId, TeamName, TypeName, ZoneName,
+};
 
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -36,6 +38,16 @@
     On(TaskId, MachineId, Place),
     Off(TaskId, MachineId),
     Completed(TaskId),
+    /// A submission that must be refused with this status was answered.
+    OddAnswered(String, u16, u16),
+}
+
+/// What a machine that works has left.
+#[derive(Clone, Debug)]
+pub struct Room {
+    pub place: Place,
+    pub cpus: f64,
+    pub memory: f64,
 }
 
 #[derive(Default)]
@@ -55,10 +67,16 @@
     /// Its tasks fail wherever they run.
     fails: bool,
     missed: bool,
+    /// Since when it has tasks that are nowhere although there is room for one,
+    /// and how many tasks were there or done then.
+    waits: Option<(Duration, usize)>,
+    overlooked: bool,
 }
 
 /// Without any answer for this long after all troubles a job is forgotten.
 const UNANSWERED: Duration = Duration::from_secs(75);
+/// With room and quota for one of its tasks no job waits longer than this.
+const WAITS_AT_MOST: Duration = Duration::from_secs(90);
 /// The largest jobs begin within this time; younger ones are not judged.
 const BEGIN_WITHIN: Duration = Duration::from_secs(240);
 
@@ -112,6 +130,11 @@
                 }
             }
             Event::On(task, machine, place) => self.started(at, task, machine, place),
+            Event::OddAnswered(what, expected, code) => {
+                if code != expected && !matches!(code, 429 | 503) {
+                    self.breach(at, "odd", format!("{what} got {code}, not {expected}"));
+                }
+            }
             Event::Answer {
                 asked,
                 job,
@@ -273,6 +296,65 @@
         }
     }
 
+    /// Looks for jobs that wait while a machine that fits has room and their team
+    /// is under its limit. `there`: tasks on machines, fetching ones too.
+    pub fn watch_waiting(&mut self, at: Duration, rooms: &[Room], there: &[(TaskId, Place)]) {
+        if self.calm_since.is_none() {
+            return;
+        }
+        let mut used: BTreeMap<TeamName, f64> = BTreeMap::new();
+        let mut places: BTreeMap<&JobId, BTreeMap<u32, &Place>> = BTreeMap::new();
+        for (task, place) in there {
+            if let Some(spec) = self.jobs.get(&task.job).and_then(|job| job.spec.as_ref()) {
+                *used.entry(spec.team.clone()).or_default() += spec.per_task.cpus;
+            }
+            let of_job = places.entry(&task.job).or_default();
+            of_job.insert(task.index, place);
+        }
+        let mut found = Vec::new();
+        let none = BTreeMap::new();
+        for (id, job) in &mut self.jobs {
+            let Some(spec) = job.spec.as_deref() else {
+                continue;
+            };
+            let places = places.get(id).unwrap_or(&none);
+            let counted = (0..spec.tasks)
+                .filter(|task| places.contains_key(task) || job.completed.contains(task))
+                .count();
+            let wants = spec.tasks as usize - counted;
+            // Of a gang all tasks need room at once.
+            let needs = match spec.kind {
+                JobKind::Gang => spec.tasks as usize,
+                _ => 1,
+            };
+            let limit = self.limits.get(&spec.team).copied().unwrap_or(f64::MAX);
+            let in_use = used.get(&spec.team).copied().unwrap_or(0.0);
+            let waits = job.accepted_at.is_some()
+                && !job.abort_asked
+                && !job.fails
+                && wants > 0
+                && (spec.kind != JobKind::Gang || places.is_empty())
+                && in_use + spec.per_task.cpus * needs as f64 <= limit + 1e-6
+                && fits(spec, places, rooms) >= needs;
+            job.waits = match job.waits {
+                _ if !waits => None,
+                Some((since, before)) if before == counted => Some((since, before)),
+                _ => Some((at, counted)),
+            };
+            if job
+                .waits
+                .is_some_and(|(since, _)| at > since + WAITS_AT_MOST)
+                && !job.overlooked
+            {
+                job.overlooked = true;
+                found.push(format!("{id}: {wants} tasks"));
+            }
+        }
+        for what in found {
+            self.breach(at, "waited", what);
+        }
+    }
+
     /// Looks at what is wrong with the whole: half of each class, of each team
     /// and of each class's largest jobs is served, and the largest begin in time.
     pub fn finish(&mut self, at: Duration) {
@@ -340,7 +422,59 @@
         }
     }
 
+    /// Jobs with tasks on machines that their users have not called off, and where
+    /// these tasks are.
+    pub fn running_jobs(&self) -> Vec<(JobId, BTreeSet<MachineId>)> {
+        let mut jobs: BTreeMap<JobId, BTreeSet<MachineId>> = BTreeMap::new();
+        for (task, (machine, _)) in &self.on {
+            if !self.jobs[&task.job].abort_asked {
+                let machines = jobs.entry(task.job.clone()).or_default();
+                machines.insert(machine.clone());
+            }
+        }
+        jobs.into_iter().collect()
+    }
+
+    /// All tasks of the job have completed.
+    pub fn is_complete(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(|job| {
+            let tasks = job.spec.as_ref().map_or(u32::MAX, |spec| spec.tasks);
+            job.completed.len() as u32 >= tasks
+        })
+    }
+
     pub fn running(&self, job: &JobId) -> usize {
         self.on.keys().filter(|task| task.job == *job).count()
     }
 }
+
+/// How many more tasks of the job have room, with the zones of the others.
+fn fits(spec: &JobSpec, places: &BTreeMap<u32, &Place>, rooms: &[Room]) -> usize {
+    let in_zone = |zone: &str| places.values().filter(|place| place.zone == zone).count();
+    let count = |room: &Room| {
+        let place = &room.place;
+        let allowed = spec.allows_type(&TypeName::new(place.kind.as_str()))
+            && spec.allows_zone(&ZoneName::new(place.zone.as_str()))
+            && (!place.spot || spec.spot)
+            && (!spec.one_zone || in_zone(&place.zone) == places.len())
+            && (!spec.spread || in_zone(&place.zone) < spec.zone_limit() as usize);
+        let part = |have: f64, want: f64| {
+            if want > 0.0 {
+                (have + 1e-6) / want
+            } else {
+                f64::MAX
+            }
+        };
+        let fitting =
+            part(room.cpus, spec.per_task.cpus).min(part(room.memory, spec.per_task.memory));
+        if allowed { fitting as usize } else { 0 }
+    };
+    if !spec.one_zone {
+        return rooms.iter().map(count).sum();
+    }
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    for room in rooms {
+        *zones.entry(room.place.zone.as_str()).or_default() += count(room);
+    }
+    zones.into_values().max().unwrap_or(0)
+}
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -248,6 +248,18 @@
             let world = world.clone();
             tokio::spawn(async move { users::submit_once(&world, &job, &spec).await });
         }
+        "abort" if parts[1] == "running" => {
+            let count = number(&words, "count", 3.0) as usize;
+            world.abort_running(count, seconds(&words, "hang", 0.0));
+        }
+        "abort" if parts[1] == "ending" => {
+            world.set_abort_at_end(number(&words, "share", 0.5));
+            let world = world.clone();
+            later(time, move || world.set_abort_at_end(0.0));
+        }
+        "odd" => {
+            tokio::spawn(users::odd(world.clone(), job_spec(&words)));
+        }
         "abort" => {
             let job = JobId::parse(parts[1]).expect("a job id");
             tokio::spawn(users::abort(world.clone(), job));
@@ -287,6 +299,11 @@
                 let world = world.clone();
                 later(time, move || world.set_lossy(0.0));
             }
+            "slow" => {
+                world.set_slow(seconds(&words, "by", 0.5));
+                let world = world.clone();
+                later(time, move || world.set_slow(Duration::ZERO));
+            }
             "late" => {
                 world.set_late(number(&words, "share", 0.3), seconds(&words, "late", 5.0));
                 let world = world.clone();
@@ -333,6 +350,12 @@
                 machine.hang(time);
             }
         }
+        "mute" => {
+            let count = parts[1].parse().expect("a number of machines");
+            for machine in world.machines().into_iter().take(count) {
+                machine.mute(time);
+            }
+        }
         "deaf" => {
             let count = parts[1].parse().expect("a number of machines");
             for machine in world.machines().into_iter().take(count) {
