--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -74,8 +74,6 @@
     pub worker_lease: Duration,
     pub cancel: Duration,
     pub state: StateLimits,
-    /// Changes in a transaction, now and later.
-    pub txn_ops: usize,
     pub cloud_rps: f64,
     pub list_lag: Duration,
     pub max_connections: usize,
--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -804,7 +804,7 @@
             Some(spec) if spec.one_zone || spec.spread => spec.tasks.div_ceil(keys::CHUNK) as usize,
             _ => 1,
         };
-        let most = (4 * self.config.txn_ops).saturating_sub(3 + records);
+        let most = (4 * self.config.state.txn_ops).saturating_sub(3 + records);
         change.blocks.contains_key(&block) || change.blocks.len() < most.max(1)
     }
 
@@ -1002,14 +1002,14 @@
         if shared {
             return group;
         }
-        let most = self.config.txn_ops.min(RECORDS_PER_COMMIT);
+        let most = self.config.state.txn_ops.min(RECORDS_PER_COMMIT);
         let mut at = 0;
         while at < parts.len() && ops < most {
             let (part, change) = &parts[at];
             if change.fenced == fenced
                 && !change.shared
                 && ops + part.ops.len() <= most
-                && conditions + part.conditions.len() <= 4 * self.config.txn_ops
+                && conditions + part.conditions.len() <= 4 * self.config.state.txn_ops
             {
                 ops += part.ops.len();
                 conditions += part.conditions.len();
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -138,7 +138,7 @@
             tokio::spawn(async move { node.verify_silent(suspect).await });
         }
         // Recorded before they are sent; several in one commit.
-        let parts = rents.chunks(self.config.txn_ops.min(RENTS_PER_COMMIT));
+        let parts = rents.chunks(self.config.state.txn_ops.min(RENTS_PER_COMMIT));
         for part in parts {
             let mut transaction = Transaction::default();
             for (pool, zone, count) in part {
--- a/src/coordination/leader/fleet/rents.rs
+++ b/src/coordination/leader/fleet/rents.rs
@@ -146,7 +146,7 @@
                 if record.address.as_ref() == Some(address) {
                     continue;
                 }
-                let full = changed.len() >= self.config.txn_ops / 2;
+                let full = changed.len() >= self.config.state.txn_ops / 2;
                 if full && !changed.contains_key(&record.rental) {
                     continue;
                 }
--- a/src/coordination/leader/fleet/returns.rs
+++ b/src/coordination/leader/fleet/returns.rs
@@ -217,7 +217,7 @@
             }
             let rentals: Vec<(&RentName, RentalRecord)> = rentals.into_iter().collect();
             let parts = rentals
-                .chunks((self.config.txn_ops / 2).max(1))
+                .chunks((self.config.state.txn_ops / 2).max(1))
                 .map(|part| {
                     let mut transaction = Transaction::default();
                     for (name, rental) in part {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -299,7 +299,7 @@
                 shunned: state.fleet.shunned.keys().cloned().collect(),
                 short: std::mem::take(&mut state.short),
                 kept: state.kept.clone(),
-                most: self.config.txn_ops.min(OPS_PER_COMMIT),
+                most: self.config.state.txn_ops.min(OPS_PER_COMMIT),
             };
             drop(state);
             let changed = blocks::plan(&book, &self.config.teams, &hints);
@@ -337,7 +337,7 @@
         {
             let book = self.store.book();
             let caught_up = book.rentals.values().all(|kept| kept.mark <= book.revision);
-            let most = self.config.txn_ops;
+            let most = self.config.state.txn_ops;
             for id in &book.ending {
                 if parts.len() >= PARTS / 2 {
                     break;
@@ -388,8 +388,9 @@
         while let Some(mut group) = parts.next() {
             // Several in one commit, as far as they have room in it.
             while let Some(next) = parts.next_if(|next| {
-                group.ops.len() + next.ops.len() <= self.config.txn_ops.min(OPS_PER_COMMIT)
-                    && group.conditions.len() + next.conditions.len() < 3 * self.config.txn_ops
+                group.ops.len() + next.ops.len() <= self.config.state.txn_ops.min(OPS_PER_COMMIT)
+                    && group.conditions.len() + next.conditions.len()
+                        < 3 * self.config.state.txn_ops
             }) {
                 group.absorb(next);
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -139,7 +139,7 @@
         }
         // Placing such a task is conditional on all of its job's records.
         let records = spec.tasks.div_ceil(keys::CHUNK) as usize;
-        if (spec.one_zone || spec.spread) && records > 3 * self.config.txn_ops {
+        if (spec.one_zone || spec.spread) && records > 3 * self.config.state.txn_ops {
             return Ok(Err(Impossible::Bound));
         }
         Ok(Ok(()))
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -306,7 +306,6 @@
                     * 1024.0) as usize,
                 txn_ops: next.txn_ops.map_or(now.txn_ops, |ops| ops.min(now.txn_ops)) as usize,
             },
-            txn_ops: next.txn_ops.map_or(now.txn_ops, |ops| ops.min(now.txn_ops)) as usize,
             cloud_rps: inner.cloud.rps,
             list_lag: span(inner.cloud.list_lag_s),
             max_connections: inner.limits.max_connections as usize,
@@ -315,45 +314,3 @@
         }
     }
 }
-
-#[cfg(test)]
-pub mod tests {
-    use super::*;
-
-    pub const EXAMPLE: &str = r#"{
-        "node_name": "n-0", "area": "a", "serve_on": "127.0.0.1:8080",
-        "peer_bind": "127.0.0.1:8081", "peers": [], "surprise": 1,
-        "services": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
-        "settings": {
-            "teams": [{"name": "t", "cpus": 4.0, "cpus_max": 8.0}],
-            "workers": {"report_s": 3.0, "lease_s": 20.0, "cancel_s": 50.0},
-            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
-            "cloud": {"rps": 3.0, "list_lag_s": 12.0},
-            "limits": {"cpu": 0.08, "mem_mb": 72.0, "max_connections": 1500}
-        }}"#;
-
-    #[test]
-    fn unknown_fields_are_ignored() {
-        let config = Settings::parse(EXAMPLE)
-            .expect("valid")
-            .config(Incarnation(1), Tuning::default());
-        assert_eq!(config.entitled(), Duration::from_secs(27));
-        assert_eq!(config.teams[0].limit.cpus, 8.0);
-    }
-
-    #[test]
-    fn what_is_wrong_is_named() {
-        for (from, to, names) in [
-            ("\"lease_s\": 20.0", "\"lease_s\": -1", "lease_s"),
-            ("\"lease_s\": 20.0", "\"lease_s\": 48.0", "cancel_s"),
-            ("\"cpus\": 4.0", "\"cpus\": -4.0", "cpus"),
-            ("127.0.0.1:8080", "localhost:8080", "serve_on"),
-            ("\"txn_ops\": 32", "\"txn_ops\": 2", "txn_ops"),
-            ("\"node_name\": \"n-0\"", "\"node_name\": \"\"", "node_name"),
-            ("\"area\": \"a\",", "", "area"),
-        ] {
-            let error = Settings::parse(&EXAMPLE.replace(from, to)).expect_err(to);
-            assert!(error.contains(names), "{error}");
-        }
-    }
-}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,85 @@
+//! The platform's settings: what is unknown is ignored, what is wrong is named.
+
+use std::time::Duration;
+
+use stallcove::{coordination::Tuning, protocol::settings::Settings, storage::Incarnation};
+
+const EXAMPLE: &str = r#"{
+    "node_name": "n-0", "area": "a", "serve_on": "127.0.0.1:8080",
+    "peer_bind": "127.0.0.1:8081", "peers": [], "surprise": 1,
+    "services": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
+    "settings": {
+        "teams": [{"name": "t", "cpus": 4.0, "cpus_max": 8.0}],
+        "workers": {"report_s": 3.0, "lease_s": 20.0, "cancel_s": 50.0},
+        "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
+        "cloud": {"rps": 3.0, "list_lag_s": 12.0},
+        "limits": {"cpu": 0.08, "mem_mb": 72.0, "max_connections": 1500}
+    }}"#;
+
+#[test]
+fn unknown_fields_are_ignored() {
+    let config = Settings::parse(EXAMPLE)
+        .expect("valid")
+        .config(Incarnation(1), Tuning::default());
+    assert_eq!(config.entitled(), Duration::from_secs(27));
+    assert_eq!(config.teams[0].limit.cpus, 8.0);
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    for (from, to, names) in [
+        ("\"lease_s\": 20.0", "\"lease_s\": -1", "lease_s"),
+        ("\"lease_s\": 20.0", "\"lease_s\": 48.0", "cancel_s"),
+        ("\"cpus\": 4.0", "\"cpus\": -4.0", "cpus"),
+        ("127.0.0.1:8080", "localhost:8080", "serve_on"),
+        ("\"txn_ops\": 32", "\"txn_ops\": 2", "txn_ops"),
+        ("\"node_name\": \"n-0\"", "\"node_name\": \"\"", "node_name"),
+        ("\"area\": \"a\",", "", "area"),
+    ] {
+        let error = Settings::parse(&EXAMPLE.replace(from, to)).expect_err(to);
+        assert!(error.contains(names), "{error}");
+    }
+}
+
+fn with_next(next: &str) -> String {
+    let state = format!("\"txn_ops\": 32, \"next\": {next}");
+    EXAMPLE.replace("\"txn_ops\": 32", &state)
+}
+
+/// Limits to come: from the start nothing is sent that they would refuse.
+#[test]
+fn the_smaller_of_both_limits_holds() {
+    let state = |text: &str| {
+        let settings = Settings::parse(text).expect("valid");
+        settings.config(Incarnation(1), Tuning::default()).state
+    };
+    let plain = state(EXAMPLE);
+    assert_eq!((plain.txn_ops, plain.value_bytes), (32, 8192));
+    assert_eq!((plain.next_rps, plain.next_write_rps), (200.0, 80.0));
+    let lowered = state(&with_next(
+        r#"{"write_rps": 35.0, "value_kb": 2.0, "txn_ops": 5}"#,
+    ));
+    assert_eq!((lowered.txn_ops, lowered.value_bytes), (5, 2048));
+    assert_eq!((lowered.write_rps, lowered.next_write_rps), (80.0, 35.0));
+    assert_eq!(lowered.next_rps, 200.0);
+    let raised = state(&with_next(
+        r#"{"write_rps": 350.0, "value_kb": 64.0, "txn_ops": 128}"#,
+    ));
+    assert_eq!((raised.txn_ops, raised.value_bytes), (32, 8192));
+    assert_eq!(raised.next_write_rps, 80.0);
+    assert_eq!(state(&with_next("null")).txn_ops, 32);
+    assert_eq!(state(&with_next("{}")).txn_ops, 32);
+}
+
+#[test]
+fn limits_too_small_to_serve_are_named() {
+    for (next, names) in [
+        (r#"{"txn_ops": 3}"#, "state.next.txn_ops"),
+        (r#"{"value_kb": 1.9}"#, "state.next.value_kb"),
+        (r#"{"write_rps": 0}"#, "state.next.write_rps"),
+        (r#"{"rps": -1}"#, "state.next.rps"),
+    ] {
+        let error = Settings::parse(&with_next(next)).expect_err(next);
+        assert!(error.contains(names), "{error}");
+    }
+}
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::{
+    state::Limits,
     users,
     world::{Cut, TypeSpec, World},
 };
@@ -90,6 +91,10 @@
     until: Duration,
     /// The state service's requests and changes a second.
     limits: (f64, f64),
+    /// What it lowers its limits to, as the settings announce it.
+    next: Limits,
+    /// All controllers are of the version before.
+    old: bool,
 }
 
 impl Script {
@@ -103,6 +108,8 @@
             timed: Vec::new(),
             until: Duration::from_secs(60),
             limits: (400.0, 200.0),
+            next: Limits::default(),
+            old: false,
         };
         for line in text.lines() {
             let line = line.split('#').next().unwrap_or("").trim();
@@ -124,6 +131,16 @@
                         number(&words, "writes", 200.0),
                     );
                 }
+                "next" => {
+                    let words = words(rest);
+                    script.next = Limits {
+                        rps: number(&words, "rps", 400.0),
+                        writes: number(&words, "writes", 200.0),
+                        ops: number(&words, "ops", 16.0) as usize,
+                        value: number(&words, "value", 8192.0) as usize,
+                    };
+                }
+                "old" => script.old = true,
                 "team" => {
                     let words = words(&rest[1..]);
                     let quota = |name| Quota {
@@ -190,8 +207,21 @@
 
     async fn run(self) -> Vec<String> {
         let calm_at = self.calm_at();
-        let world = World::new(self.zones, self.nodes, self.teams, self.types, self.limits);
+        let Self {
+            zones,
+            nodes,
+            teams,
+            types,
+            limits,
+            next,
+            old,
+            timed,
+            until,
+            ..
+        } = self;
+        let world = World::new(zones, nodes, teams, types, limits, next);
         for name in world.node_names() {
+            world.set_old(&name, old);
             world.boot_node(&name);
         }
         let start = Instant::now();
@@ -209,14 +239,14 @@
             let world = world.clone();
             later(calm_at, move || world.calm());
         }
-        for timed in &self.timed {
+        for timed in &timed {
             tokio::time::sleep_until(start + timed.at).await;
             let parts: Vec<&str> = timed.words.iter().map(String::as_str).collect();
             if let Err(what) = act(&world, &parts) {
                 wrong.push(format!("{}: {what}", timed.line));
             }
         }
-        tokio::time::sleep_until(start + self.until).await;
+        tokio::time::sleep_until(start + until).await;
         ticker.abort();
         world.finish();
         wrong.extend(world.broken());
@@ -276,7 +306,16 @@
                 later(seconds(&words, "for", 5.0), move || world.boot_node(&name));
             }
         }
+        // It comes back with the new version.
+        "upgrade" => {
+            let name = parts[1].to_owned();
+            world.kill_node(&name);
+            world.set_old(&name, false);
+            let world = world.clone();
+            later(seconds(&words, "for", 5.0), move || world.boot_node(&name));
+        }
         "state" => match parts[1] {
+            "lowers" => world.lower_limits(),
             "down" => {
                 world.state.set_down(true);
                 let world = world.clone();
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -10,6 +10,26 @@
 use stallcove::protocol::state::{Change, Commit, Life};
 use tokio::{sync::Notify, time::Instant};
 
+/// What it allows, and what it will allow from some moment on.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub rps: f64,
+    pub writes: f64,
+    pub ops: usize,
+    pub value: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            rps: f64::MAX,
+            writes: f64::MAX,
+            ops: 16,
+            value: 8 * 1024,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     ledger: u64,
@@ -21,6 +41,10 @@
     refused: BTreeSet<String>,
     requests: Bucket,
     writes: Bucket,
+    /// Changes in a transaction and bytes in a value; none: those of the start.
+    sizes: Option<(usize, usize)>,
+    /// Transactions beyond these.
+    too_large: Vec<String>,
     /// Changes asked for, those of failed transactions included.
     changes: usize,
 }
@@ -103,11 +127,34 @@
         }
     }
 
+    /// Nobody is to send such a transaction.
+    fn too_large(&mut self, what: String) -> Answer {
+        self.too_large.push(format!("too large: {what}"));
+        (400, json!({"error": "too large"}))
+    }
+
     fn commit(&mut self, body: &[u8]) -> Answer {
         let Ok(commit) = serde_json::from_slice::<Commit>(body) else {
             return (400, json!({"error": "malformed"}));
         };
-        assert!(commit.then.len() <= 32, "too many changes");
+        let start = Limits::default();
+        let (ops, value) = self.sizes.unwrap_or((start.ops, start.value));
+        let changes = commit.then.len();
+        let conditions = commit.conditions.len();
+        if changes > ops || conditions > 4 * ops {
+            let what = format!("{changes} changes, {conditions} conditions");
+            return self.too_large(what);
+        }
+        let large = commit.then.iter().find_map(|change| match change {
+            Change::Set { set, data, .. } => {
+                let size = data.to_string().len();
+                (size > value).then(|| format!("{set} has {size} bytes"))
+            }
+            Change::Drop { .. } => None,
+        });
+        if let Some(what) = large {
+            return self.too_large(what);
+        }
         if !self.writes.take(commit.then.len() as f64) {
             return (429, json!({}));
         }
@@ -125,8 +172,7 @@
         let mut seen = BTreeSet::new();
         for change in &commit.then {
             let key = match change {
-                Change::Set { set, tether, data } => {
-                    assert!(data.to_string().len() <= 8 * 1024, "too large a value");
+                Change::Set { set, tether, .. } => {
                     if tether.is_some_and(|id| !self.grants.contains_key(&id)) {
                         return (400, json!({"error": "no such lease"}));
                     }
@@ -201,6 +247,14 @@
         inner.writes = Bucket::new(writes);
     }
 
+    pub fn too_large(&self) -> Vec<String> {
+        self.lock().too_large.clone()
+    }
+
+    pub fn set_sizes(&self, ops: usize, value: usize) {
+        self.lock().sizes = Some((ops, value));
+    }
+
     pub fn changes(&self) -> usize {
         self.lock().changes
     }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -11,7 +11,8 @@
 use futures::future::{BoxFuture, FutureExt};
 use serde_json::{Value, json};
 use stallcove::{
-    coordination::{Config, Node, Tuning},
+    coordination::{Config, Node, Tuning, ports::*},
+    protocol::peers,
     storage::*,
     transport::{
         Call, Network, Reply, SendError, links,
@@ -28,7 +29,7 @@
 use super::{
     gangs::{Gangs, Next},
     rules::{Event, Place, Room, Rules},
-    state::State,
+    state::{Limits, State},
     worker::Machine,
 };
 
@@ -111,6 +112,10 @@
     copies: Mutex<(f64, Duration)>,
     abort_at_end: Mutex<f64>,
     gangs: Mutex<Gangs>,
+    /// Controllers of the version before: they say nothing of what they read, drop
+    /// links on frames that they can't read, and know nothing of formats.
+    old: Mutex<BTreeSet<String>>,
+    next: Limits,
     /// The state service takes up to this much longer for an answer.
     slow: Mutex<Duration>,
     tuning: Tuning,
@@ -125,6 +130,7 @@
         teams: Vec<Team>,
         types: Vec<TypeSpec>,
         limits: (f64, f64),
+        next: Limits,
     ) -> Arc<Self> {
         let state = State::default();
         state.set_limits(limits.0, limits.1);
@@ -169,6 +175,8 @@
             copies: Mutex::new((0.0, Duration::ZERO)),
             abort_at_end: Mutex::new(0.0),
             gangs: Mutex::default(),
+            old: Mutex::default(),
+            next,
             slow: Mutex::default(),
             tuning: Tuning::default(),
         })
@@ -247,7 +255,9 @@
     }
 
     pub fn broken(&self) -> Vec<String> {
-        self.rules.lock().expect("rules").broken.clone()
+        let mut broken = self.rules.lock().expect("rules").broken.clone();
+        broken.extend(self.state.too_large());
+        broken
     }
 
     pub fn running(&self, job: &JobId) -> usize {
@@ -377,6 +387,7 @@
             (nodes[name].zone.clone(), peers)
         };
         let life = chance::share(1.0, 1e15) as u64;
+        let old = self.is_old(name);
         let start = self.start;
         let config = Config {
             node: NodeName::new(name),
@@ -391,12 +402,20 @@
             state: StateLimits {
                 rps: self.state_limits.0,
                 write_rps: self.state_limits.1,
-                next_rps: self.state_limits.0,
-                next_write_rps: self.state_limits.1,
-                value_bytes: 8 * 1024,
-                txn_ops: 16,
+                next_rps: self.next.rps.min(self.state_limits.0),
+                next_write_rps: self.next.writes.min(self.state_limits.1),
+                // The version before knows nothing of limits to come.
+                value_bytes: if old {
+                    Limits::default().value
+                } else {
+                    self.next.value
+                },
+                txn_ops: if old {
+                    Limits::default().ops
+                } else {
+                    self.next.ops
+                },
             },
-            txn_ops: 16,
             cloud_rps: 5.0,
             list_lag: LIST_LAG,
             max_connections: 500,
@@ -442,6 +461,26 @@
         nodes.get_mut(name).expect("a node").running = Some(running);
     }
 
+    pub fn set_old(&self, name: &str, old: bool) {
+        let mut all = self.old.lock().expect("old");
+        if old {
+            all.insert(name.to_owned());
+        } else {
+            all.remove(name);
+        }
+    }
+
+    fn is_old(&self, name: &str) -> bool {
+        self.old.lock().expect("old").contains(name)
+    }
+
+    /// The state service's limits fall to those that were announced.
+    pub fn lower_limits(&self) {
+        let next = &self.next;
+        self.state.set_limits(next.rps, next.writes);
+        self.state.set_sizes(next.ops, next.value);
+    }
+
     pub fn kill_node(&self, name: &str) {
         let running = {
             let mut nodes = self.nodes.lock().expect("nodes");
@@ -754,6 +793,23 @@
     }
 }
 
+/// As the version before says it, which does not tell what it reads.
+fn silenced_call(frame: &[u8]) -> Vec<u8> {
+    let mut call = peers::read_call(frame).expect("a call");
+    if let PeerCall::Status(status) = &mut call {
+        status.dialect = Dialect::default();
+    }
+    peers::write_call(call).expect("a frame")
+}
+
+fn silenced_answer(frame: &[u8]) -> Vec<u8> {
+    let mut answer = peers::read_answer(frame).expect("an answer");
+    if let PeerAnswer::Status(status) = &mut answer {
+        status.dialect = Dialect::default();
+    }
+    peers::write_answer(answer).expect("a frame")
+}
+
 /// One node's network.
 struct SimNet {
     world: Arc<World>,
@@ -814,6 +870,14 @@
             }
             return futures::future::pending().await;
         }
+        let format = String::from_utf8_lossy(&call.body).contains("\"set\":\"format\"");
+        if self.world.is_old(&self.node) && call.path == "/commit" && format {
+            // The version before knows no such key.
+            return Ok(Reply {
+                status: 409,
+                body: Bytes::from(json!({"failed": ["format"], "ledger": 0}).to_string()),
+            });
+        }
         let (share, late) = *self.world.late.lock().expect("late");
         if call.path == "/commit" && chance::share(0.0, 1.0) < share {
             let (world, node) = (self.world.clone(), self.node.clone());
@@ -890,7 +954,14 @@
                 let Some(node) = node else {
                     return Err(SendError::NotSent("refused".into()));
                 };
+                let (from, to) = (self.world.is_old(&self.node), self.world.is_old(address));
+                let frame = if from { silenced_call(&frame) } else { frame };
+                let call = peers::read_call(&frame).expect("a call");
+                if to && matches!(call, PeerCall::CancelledSince(_)) {
+                    return Err(SendError::NoAnswer("closed".into()));
+                }
                 let answer = links::answer(&node, &frame).await;
+                let answer = answer.map(|a| if to { silenced_answer(&a) } else { a });
                 tokio::time::sleep(chance::millis(1, 3)).await;
                 answer.ok_or_else(|| SendError::NoAnswer("closed".into()))
             };
