A gang of which one machine is taken is stopped as a whole, so that it saves

Its holder tells the mates' holders with the frame for preemptions; a gang that ends before its machine goes is left alone.

--- a/src/coordination/holder.rs
+++ b/src/coordination/holder.rs
@@ -283,7 +283,7 @@
         // Changes of the state service are scarce: what is planned only when one
         // may be made is not outdated when it is sent.
         let wait = self.store.commit_wait(Urgency::Place);
-        let (changes, stops) = {
+        let (changes, stops, mates) = {
             let book = self.store.book();
             let Some(seat) = self.own_seat(&book) else {
                 return;
@@ -297,8 +297,17 @@
                     self.place_offers(&mut state, &book, seat, now, &mut changes);
                 }
             }
-            (changes, self.collect_stops(&mut state, &book, now))
+            let mut mates = BTreeMap::new();
+            let stops = self.collect_stops(&mut state, &book, now, &mut mates);
+            (changes, stops, mates)
         };
+        for (node, tasks) in mates {
+            let this = self.clone();
+            tokio::spawn(async move {
+                // Unanswered: the gang falls back to its last checkpoint.
+                let _ = this.peers.call(&node, PeerCall::Preempt(tasks)).await;
+            });
+        }
         for (machine, commands) in stops {
             self.send_orders(machine, None, commands);
         }
@@ -868,16 +877,20 @@
         chosen
     }
 
-    /// Tasks to be stopped now, directly rather than with the next answer.
+    /// Tasks to be stopped now, directly rather than with the next answer. `mates`:
+    /// those of gangs that other controllers are to stop with them, since a gang
+    /// saves only if all of it is told within `gang_peer_s`.
     fn collect_stops(
         &self,
         state: &mut HolderState,
         book: &Book,
         now: Instant,
+        mates: &mut BTreeMap<NodeName, Vec<TaskId>>,
     ) -> Vec<(MachineId, Vec<Command>)> {
         let HolderState {
             views, preempting, ..
         } = state;
+        let mut leaving_gangs: BTreeSet<JobId> = BTreeSet::new();
         let mut wanted: Vec<(TaskId, &Placement)> = Vec::new();
         let ending = book.ending.iter().filter(|id| book.is_cancelled(id));
         let told = book
@@ -906,6 +919,16 @@
                 continue;
             };
             for (task, placed) in book.on_machine.get(machine).iter().flat_map(|l| &l.tasks) {
+                if let Some(spec) = placed.spec.as_ref().filter(|s| s.kind == JobKind::Gang) {
+                    let seen = view.tasks.get(task);
+                    let since = seen.and_then(|seen| seen.running_since);
+                    let ends_first = since.is_some_and(|at| at + spec.estimate < leaves_at);
+                    let lately = view.stops_sent.contains_key(task);
+                    if !ends_first && !lately && now + spec.save < leaves_at {
+                        leaving_gangs.insert(task.job.clone());
+                    }
+                    continue;
+                }
                 let leaves = placed.spec.as_ref().is_some_and(|spec| {
                     spec.kind == JobKind::Service
                         || (!spec.checkpoint.is_zero() && now + spec.save < leaves_at)
@@ -915,6 +938,21 @@
                 }
             }
         }
+        for id in leaving_gangs {
+            let Some(job) = book.jobs.get(&id) else {
+                continue;
+            };
+            for (index, placement) in job.present_placements() {
+                let task = TaskId::new(id.clone(), index);
+                if views.contains_key(&placement.machine) {
+                    preempting.insert(task.clone(), placement.attempt);
+                    wanted.push((task, placement));
+                } else if let Some((_, kept)) = book.block_of(&placement.machine) {
+                    let there = mates.entry(kept.value.node.clone()).or_default();
+                    there.push(task);
+                }
+            }
+        }
         let mut stops: BTreeMap<MachineId, Vec<Command>> = BTreeMap::new();
         for (task, placement) in wanted {
             let Some(view) = views.get_mut(&placement.machine) else {
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -90,7 +90,15 @@
             6 => format!("at {at:.2} state lossy share=0.2 for={time:.2}"),
             7 => format!("at {at:.2} cloud down for={time:.2}"),
             8 => format!("at {at:.2} hang {} for={time:.2}", dice.random_range(1..4)),
-            9 => format!("at {at:.2} take {}", dice.random_range(1..4)),
+            9 => format!(
+                "at {at:.2} take {}{}",
+                dice.random_range(1..4),
+                if dice.random_bool(0.5) {
+                    " notice=6"
+                } else {
+                    ""
+                }
+            ),
             10 => format!(
                 "at {at:.2} deaf {} for={:.2}",
                 dice.random_range(1..3),
