--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -69,6 +69,19 @@
     let sides = [
         "n0", "n1", "n2", "a", "b", "c", "state", "workers", "cloud", "nodes",
     ];
+    // Some days begin with the version before, which is rolled off in the midst of it.
+    if dice.random_bool(0.3) {
+        lines.push("old".into());
+        lines.push("next writes=100 ops=5 value=2048".into());
+        let mut at = dice.random_range(8.0..60.0);
+        let every = dice.random_range(2.0..25.0);
+        for node in 0..3 {
+            let time = dice.random_range(0.3..6.0);
+            lines.push(format!("at {at:.2} upgrade n{node} for={time:.2}"));
+            at += every;
+        }
+        lines.push(format!("at {:.2} state lowers", at + 12.0));
+    }
     let faults = dice.random_range(4..9);
     let mut together = 0.0;
     for n in 0..faults {
