--- /dev/null
+++ b/tests/book.rs
@@ -0,0 +1,81 @@
+//! The replica's answers on gangs and on cancellations told by peers.
+
+use serde_json::{Value, json};
+use stallcove::storage::*;
+
+fn id(n: u32) -> JobId {
+    JobId::new(format!("job-{n}"))
+}
+
+fn spec(tasks: u32) -> Value {
+    json!({"class": "c", "team": "t", "kind": "Gang", "priority": "Normal",
+        "tasks": tasks, "per_task": {"cpus": 1.0, "gpus": 0.0, "memory": 1.0},
+        "image": "i", "image_gb": 1.0, "estimate": {"secs": 1, "nanos": 0},
+        "checkpoint": {"secs": 0, "nanos": 0}, "save": {"secs": 0, "nanos": 0},
+        "accepted_ms": 0})
+}
+
+fn on(machine: &str, attempt: u64) -> Value {
+    json!({"a": attempt, "m": machine, "s": 1})
+}
+
+/// A gang of three with this run record; only vm-1 and vm-2 are ours to pay for.
+fn gang(run: Value) -> Book {
+    let mut book = Book::default();
+    let machines = json!({"vm-1": null, "vm-2": null});
+    let rental = json!({"t": "x", "z": "z", "s": false, "at": 0, "m": machines});
+    book.set("machine/r-1", rental, Revision(1));
+    book.set("spec/job-1", spec(3), Revision(2));
+    book.set("run/job-1/0", run, Revision(3));
+    book
+}
+
+/// Guards against tasks of a gang that get different attempts and never find each
+/// other: some had ended with one, others had never been placed.
+#[test]
+fn all_tasks_of_a_gang_take_one_attempt() {
+    for (run, joins, attempt) in [
+        (json!({}), true, 1),
+        // A part waits for one that found no room.
+        (json!({"p": {"0": on("vm-1", 4)}}), true, 4),
+        (json!({"p": {"0": on("vm-1", 4)}, "w": {"1": 3}}), true, 4),
+        // A mate of this attempt has ended, or is lost: all leave first.
+        (json!({"p": {"0": on("vm-1", 4)}, "w": {"1": 4}}), false, 4),
+        (
+            json!({"p": {"0": on("vm-1", 4), "1": on("vm-9", 4)}}),
+            false,
+            4,
+        ),
+        // Nothing is there any more: above all that any task has had.
+        (json!({"w": {"0": 2, "1": 5}}), true, 6),
+        (json!({"p": {"1": on("vm-9", 7)}, "w": {"0": 2}}), true, 8),
+    ] {
+        let book = gang(run.clone());
+        let job = &book.jobs[&id(1)];
+        assert_eq!(job.may_join(), joins, "{run}");
+        assert_eq!(job.gang_attempt(), Attempt(attempt), "{run}");
+    }
+}
+
+/// A peer's word stops the tasks of jobs that we know, until the watch has brought
+/// what the peer had seen.
+#[test]
+fn what_peers_say_is_cancelled_holds_until_it_is_read() {
+    let mut book = gang(json!({"p": {"0": on("vm-1", 1)}}));
+    book.advance(Revision(5));
+    assert_eq!(book.note_cancelled(vec![id(1), id(2)], Revision(9)), 1);
+    assert!(book.is_cancelled(&id(1)) && !book.is_cancelled(&id(2)));
+    assert_eq!(book.note_cancelled(vec![id(1)], Revision(9)), 0, "known");
+    // It is passed on to others that ask.
+    assert_eq!(book.cancelled_since(Revision(5)), vec![id(1)]);
+    book.advance(Revision(8));
+    assert!(book.is_cancelled(&id(1)));
+    book.set("drain/job-1", json!(1), Revision(9));
+    book.advance(Revision(9));
+    assert!(book.is_cancelled(&id(1)));
+    assert_eq!(book.told_cancelled().count(), 0);
+    assert_eq!(book.cancelled_since(Revision(8)), vec![id(1)]);
+    assert!(book.cancelled_since(Revision(9)).is_empty());
+    // Words that are older than what we have read say nothing.
+    assert_eq!(book.note_cancelled(vec![id(1)], Revision(7)), 0);
+}
