--- /dev/null
+++ b/src/coordination/holder/change.rs
@@ -0,0 +1,60 @@
+//! What one round of the holder wants to write.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    coordination::ports::{Command, Exit},
+    storage::{
+        BlockId, JobId, MachineId, Revision, Session, TaskId, book, keys, records::RunRecord,
+    },
+};
+
+/// What one round wants to write about one record of a job. Each record by itself,
+/// so that no transaction is too large however many a job has.
+pub(super) struct JobChange {
+    pub(super) id: JobId,
+    pub(super) chunk: u32,
+    pub(super) record: RunRecord,
+    pub(super) places: bool,
+    /// The blocks on whose machines it places, or finds tasks missing, as the
+    /// plan saw them.
+    pub(super) blocks: BTreeMap<BlockId, Revision>,
+    /// It holds only as long as we hold the machines: what it says is a decision
+    /// of ours, or that a task is missing which a next holder would start. That a
+    /// task has ended stays true whoever holds its machine.
+    pub(super) fenced: bool,
+    /// Others write its records as well, so that it may well be refused.
+    pub(super) shared: bool,
+    /// It ends the job.
+    pub(super) finishes: bool,
+    pub(super) starts: Vec<(MachineId, Session, Command)>,
+    /// Ends that are learned from once they are written down.
+    pub(super) ends: Vec<(TaskId, MachineId, Exit)>,
+}
+
+#[derive(Default)]
+pub(super) struct Changes(pub(super) BTreeMap<(JobId, u32), JobChange>);
+
+impl Changes {
+    /// The change of the record that this task stands in.
+    pub(super) fn of(&mut self, id: &JobId, job: &book::Job, task: u32) -> &mut JobChange {
+        let chunk = task / keys::CHUNK;
+        let key = (id.clone(), chunk);
+        self.0.entry(key).or_insert_with(|| JobChange {
+            id: id.clone(),
+            chunk,
+            record: job
+                .chunks
+                .get(&chunk)
+                .map(|kept| kept.value.clone())
+                .unwrap_or_default(),
+            places: false,
+            blocks: BTreeMap::new(),
+            fenced: false,
+            shared: false,
+            finishes: false,
+            starts: Vec::new(),
+            ends: Vec::new(),
+        })
+    }
+}
--- /dev/null
+++ b/src/coordination/holder/commits.rs
@@ -0,0 +1,236 @@
+//! Writes what a round of the holder has planned, and sends the starts that follow.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    change::{Changes, JobChange},
+    placing::depends_on_all_records,
+};
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        ports::Command,
+    },
+    storage::{
+        Book, CommitError, Fate, MachineId, Priority, Revision, Session, Transaction,
+        budget::Urgency, keys, records::FateRecord,
+    },
+};
+
+/// Run records in one transaction at most, for the service's 64 KiB.
+const RECORDS_PER_COMMIT: usize = 12;
+
+impl Node {
+    /// Writes what it can of the changes: the most pressing first, and no more
+    /// than the state service's limits allow now. The rest is planned again.
+    pub(super) async fn commit_changes(self: &Arc<Self>, changes: Changes) {
+        let mut parts: Vec<(Transaction, JobChange)> = Vec::new();
+        let seat = {
+            let book = self.store.book();
+            let Some(seat) = self.own_seat(&book).map(|kept| kept.mark) else {
+                return;
+            };
+            for (_, mut change) in changes.0 {
+                if let Some(transaction) = self.write_job(&book, &mut change) {
+                    parts.push((transaction, change));
+                }
+            }
+            parts.sort_by_cached_key(|(_, change)| {
+                let job = book.jobs.get(&change.id);
+                let spec = job.and_then(|job| job.spec());
+                let pressing = match spec {
+                    _ if change.finishes => 1,
+                    Some(spec) if change.places && spec.priority == Priority::Production => 0,
+                    _ if change.places => 2,
+                    _ => 3,
+                };
+                // Urgent jobs are young: by age alone they would come last.
+                let priority = std::cmp::Reverse(spec.map(|spec| spec.priority));
+                (pressing, priority, spec.map_or(0, |spec| spec.accepted_ms))
+            });
+            seat
+        };
+        while !parts.is_empty() {
+            let group = self.next_group(&mut parts);
+            if !self.commit_group(seat, group).await {
+                return;
+            }
+            if !parts.is_empty() && self.store.commit_wait(Urgency::Place).is_some() {
+                self.holder_kick.notify_one();
+                return;
+            }
+        }
+    }
+
+    /// The first part with others that go in one transaction with it. One that
+    /// may well be refused goes alone: all that is in a refused transaction counts
+    /// against the limit of changes.
+    pub(super) fn next_group(
+        &self,
+        parts: &mut Vec<(Transaction, JobChange)>,
+    ) -> Vec<(Transaction, JobChange)> {
+        let first = parts.remove(0);
+        let (fenced, shared) = (first.1.fenced, first.1.shared);
+        let mut ops = first.0.ops.len();
+        let mut conditions = 1 + first.0.conditions.len();
+        let mut group = vec![first];
+        if shared {
+            return group;
+        }
+        let most = self.config.state.txn_ops.min(RECORDS_PER_COMMIT);
+        let mut at = 0;
+        while at < parts.len() && ops < most {
+            let (part, change) = &parts[at];
+            if change.fenced == fenced
+                && !change.shared
+                && ops + part.ops.len() <= most
+                && conditions + part.conditions.len() <= 4 * self.config.state.txn_ops
+            {
+                ops += part.ops.len();
+                conditions += part.conditions.len();
+                group.push(parts.remove(at));
+            } else {
+                at += 1;
+            }
+        }
+        group
+    }
+
+    /// The transaction part for one job, without the seat's condition.
+    pub(super) fn write_job(&self, book: &Book, change: &mut JobChange) -> Option<Transaction> {
+        let job = book.jobs.get(&change.id)?;
+        let spec = job.spec();
+        let kept = job.chunks.get(&change.chunk);
+        let placed = kept.iter().flat_map(|kept| kept.value.placed.values());
+        let mut machines = placed.map(|placement| &placement.machine);
+        change.shared = machines.any(|machine| {
+            book.machines.contains_key(machine) && self.own_block_of(book, machine).is_none()
+        });
+        let key = keys::run(&change.id, change.chunk);
+        let mut part = Transaction::default().require(key.clone(), job.run_mark(change.chunk));
+        let done = change.record.done_count();
+        let finished = spec.is_some_and(|spec| spec.tasks <= keys::CHUNK && done >= spec.tasks);
+        for (block, mark) in &change.blocks {
+            part = part.require(keys::block(*block), *mark);
+        }
+        if finished && job.draining.is_none() {
+            change.finishes = true;
+            // The end of a job of one record takes its keys with it.
+            let fate = FateRecord {
+                fate: Fate::Done,
+                done: spec.map_or(0, |spec| spec.tasks),
+            };
+            return Some(
+                part.require(keys::fate(&change.id), Revision(0))
+                    .set(keys::fate(&change.id), &fate)
+                    .remove(keys::run(&change.id, 0))
+                    .remove(keys::spec(&change.id)),
+            );
+        }
+        part = part.set(key, &change.record);
+        if change.places {
+            let spec = spec?;
+            part = part
+                .require(keys::fate(&change.id), Revision(0))
+                .require(keys::spec(&change.id), job.spec.as_ref()?.mark);
+            if depends_on_all_records(spec, self.config.state.txn_ops) {
+                for chunk in 0..spec.records() {
+                    if chunk != change.chunk {
+                        part = part.require(keys::run(&change.id, chunk), job.run_mark(chunk));
+                    }
+                }
+            }
+        }
+        Some(part)
+    }
+
+    /// Commits a group; a conflicting part is left out and the others go on.
+    /// False: the round is over. `seat` is our seat's revision as the plan saw it.
+    pub(super) async fn commit_group(
+        self: &Arc<Self>,
+        seat: Revision,
+        mut group: Vec<(Transaction, JobChange)>,
+    ) -> bool {
+        let seat_key = keys::seat(&self.config.node);
+        while !group.is_empty() {
+            let fenced = group.iter().any(|(_, change)| change.fenced);
+            let mut whole = Transaction::default();
+            if fenced {
+                whole = whole.require(seat_key.clone(), seat);
+            }
+            for (part, _) in &group {
+                whole.absorb(part.clone());
+            }
+            match self.store.commit(&whole, Urgency::Place).await {
+                Ok(_) => {
+                    self.dispatch_starts(group);
+                    self.leader_kick.notify_one();
+                    return true;
+                }
+                Err(CommitError::Conflict(keys)) => {
+                    tracing::debug!(?keys, "conflict");
+                    if keys.contains(&seat_key) {
+                        // The leader has changed our budgets: plan again on them.
+                        self.store.fresh().await;
+                        self.holder_kick.notify_one();
+                        return false;
+                    }
+                    group.retain(|(part, _)| {
+                        !part.conditions.iter().any(|(key, _)| keys.contains(key))
+                    });
+                    self.learn_fates(&keys).await;
+                    self.holder_kick.notify_one();
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "commit failed");
+                    if error.is_unknown() && fenced {
+                        lock(&self.holder).refence = true;
+                    }
+                    self.pause(Duration::from_millis(100)).await;
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// A job of ours turned out to be over.
+    pub(super) async fn learn_fates(&self, failed: &[String]) {
+        self.store.fresh().await;
+        for key in failed {
+            if let Some(keys::Key::Fate(job)) = keys::Key::parse(key) {
+                let _ = self.store.look_up_fate(&job).await;
+                lock(&self.holder).offers.remove(&job);
+            }
+        }
+    }
+
+    pub(super) fn dispatch_starts(self: &Arc<Self>, group: Vec<(Transaction, JobChange)>) {
+        let mut by_machine: BTreeMap<(MachineId, Session), Vec<Command>> = BTreeMap::new();
+        {
+            let book = self.store.book();
+            let mut state = lock(&self.holder);
+            for (_, change) in group {
+                for (task, machine, exit) in &change.ends {
+                    self.learn_from(&mut state, &book, task, machine, *exit);
+                }
+                for (machine, session, command) in change.starts {
+                    if let Command::Start { task, attempt } = &command {
+                        tracing::debug!(%task, %attempt, %machine, "placed");
+                        if let Some(offer) = state.offers.get_mut(&task.job) {
+                            offer.tasks.remove(&task.index);
+                        }
+                    }
+                    by_machine
+                        .entry((machine, session))
+                        .or_default()
+                        .push(command);
+                }
+            }
+            state.offers.retain(|_, offer| !offer.tasks.is_empty());
+        }
+        for ((machine, session), commands) in by_machine {
+            self.send_orders(machine, Some(session), commands);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/holder/mod.rs
@@ -0,0 +1,365 @@
+//! A holder's work on its block: records results, places the tasks it was
+//! offered, and commands its workers. One loop does all commits, so that the
+//! block's budgets are counted once.
+
+mod change;
+mod commits;
+mod orders;
+mod placing;
+mod results;
+mod stopping;
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::{
+    node::{Node, lock},
+    ports::*,
+    view::View,
+};
+use crate::storage::{book::Kept, budget::Urgency, keys, records::*, *};
+use change::Changes;
+
+/// Offers and preemptions kept.
+const OFFERS: usize = 512;
+const PREEMPTIONS: usize = 512;
+/// Between two rounds of the holder's loop.
+const LEAST_PAUSE: Duration = Duration::from_millis(15);
+const MOST_PAUSE: Duration = Duration::from_millis(150);
+/// Unanswered starts wait this long for a report before the token is raised.
+const SETTLE_AFTER: Duration = Duration::from_millis(1500);
+
+#[derive(Debug)]
+struct OfferHeld {
+    tasks: BTreeSet<u32>,
+    until: Instant,
+}
+
+/// A job whose tasks fail.
+#[derive(Debug)]
+struct Failing {
+    machines: BTreeSet<MachineId>,
+    count: u32,
+    until: Instant,
+}
+
+/// Pause before a task that failed is tried again: 1 s, 2 s, 4 s … 60 s.
+fn failure_pause(count: u32) -> Duration {
+    Duration::from_secs(1 << count.saturating_sub(1).min(6)).min(Duration::from_secs(60))
+}
+
+/// What is known of a task of ours that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// It ended, and its worker said so.
+    Ended(Exit),
+    /// Surely not there: its worker's session is over, or it never started and
+    /// is not to.
+    Gone,
+}
+
+#[derive(Default)]
+pub struct HolderState {
+    pub(super) views: BTreeMap<MachineId, View>,
+    /// The blocks that the views were last aligned with.
+    aligned: Vec<(BlockId, Revision)>,
+    offers: BTreeMap<JobId, OfferHeld>,
+    pub(super) preempting: BTreeMap<TaskId, Attempt>,
+    /// Jobs with results to be written, since when.
+    results: BTreeMap<JobId, Instant>,
+    failing: BTreeMap<JobId, Failing>,
+    /// The outcome of a commit is unknown: nothing is placed before the seat
+    /// has a new revision, which voids whatever may still be on its way.
+    refence: bool,
+}
+
+impl HolderState {
+    /// Machines held, jobs offered, jobs with results to be written.
+    pub(super) fn sizes(&self) -> (usize, usize, usize) {
+        (self.views.len(), self.offers.len(), self.results.len())
+    }
+
+    pub(super) fn failing(&self, now: Instant) -> Vec<(JobId, Duration)> {
+        self.failing
+            .iter()
+            .filter(|(_, failing)| failing.machines.len() > 1 && failing.until > now)
+            .map(|(job, failing)| (job.clone(), failing.until - now))
+            .collect()
+    }
+
+    fn note_failure(&mut self, task: &TaskId, machine: &MachineId, now: Instant) {
+        if self.failing.len() >= 512 {
+            self.failing.retain(|_, failing| failing.until > now);
+        }
+        let failing = self.failing.entry(task.job.clone()).or_insert(Failing {
+            machines: BTreeSet::new(),
+            count: 0,
+            until: now,
+        });
+        failing.machines.insert(machine.clone());
+        failing.count += 1;
+        failing.until = now + failure_pause(failing.count);
+    }
+}
+
+impl Node {
+    pub(super) fn take_offers(&self, offers: Vec<Offer>) {
+        let until = Instant::now() + self.config.tuning.offer;
+        let mut state = lock(&self.holder);
+        for offer in offers {
+            if state.offers.len() >= OFFERS && !state.offers.contains_key(&offer.job) {
+                break;
+            }
+            let held = state.offers.entry(offer.job).or_insert(OfferHeld {
+                tasks: BTreeSet::new(),
+                until,
+            });
+            held.tasks.extend(offer.tasks);
+            held.until = until;
+        }
+        drop(state);
+        self.holder_kick.notify_one();
+    }
+
+    pub(super) fn take_preemptions(&self, tasks: Vec<TaskId>) {
+        let book = self.store.book();
+        let mut state = lock(&self.holder);
+        for task in tasks {
+            let placement = book
+                .jobs
+                .get(&task.job)
+                .and_then(|job| job.placement(task.index));
+            if let Some(placement) = placement
+                && state.preempting.len() < PREEMPTIONS
+            {
+                tracing::debug!(%task, machine = %placement.machine, "stopping for others");
+                state.preempting.insert(task, placement.attempt);
+            }
+        }
+        drop(state);
+        drop(book);
+        self.holder_kick.notify_one();
+    }
+
+    pub(super) fn held_machines(&self, now: Instant) -> Vec<HeldMachine> {
+        let book = self.store.book();
+        let state = lock(&self.holder);
+        self.own_blocks(&book)
+            .flat_map(|(_, kept)| kept.value.machines.keys())
+            .filter_map(|id| Some((id, state.views.get(id)?)))
+            .map(|(id, view)| HeldMachine {
+                machine: id.clone(),
+                silent: view.silent(now),
+                unreachable: view.unreachable,
+                suspect: view.is_suspect(now),
+                leaving: view.leaves_at.is_some(),
+                deaf: view.is_deaf(self.config.deaf_after(), now),
+                address: view
+                    .address
+                    .clone()
+                    .filter(|_| view.reported)
+                    .filter(|address| {
+                        let known = book.machines.get(id);
+                        known.is_some_and(|known| known.address.as_ref() != Some(address))
+                    }),
+                session: view.session,
+                sequence: view.sequence(),
+                images: view.images(),
+                speed: view.speed,
+                freed: book
+                    .on_machine
+                    .get(id)
+                    .map(|load| view.freed(load))
+                    .unwrap_or_default(),
+            })
+            .collect()
+    }
+
+    /// Duty: the holder's loop.
+    pub(super) async fn hold(self: &Arc<Self>) {
+        let mut changes = self.store.changes();
+        while !self.stop.is_cancelled() {
+            tokio::select! {
+                biased;
+                _ = self.stop.cancelled() => return,
+                _ = changes.changed() => {}
+                _ = self.holder_kick.notified() => {}
+                _ = tokio::time::sleep(Duration::from_millis(500)) => {}
+            }
+            changes.mark_unchanged();
+            let started = Instant::now();
+            if self.store.is_loaded() {
+                self.hold_once().await;
+            }
+            // Many changes come close together; one round serves them all. On a
+            // controller that is short of processor time rounds are fewer.
+            let pause = started.elapsed().clamp(LEAST_PAUSE, MOST_PAUSE);
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn hold_once(self: &Arc<Self>) {
+        let (seat, refence) = {
+            let book = self.store.book();
+            let seat = self.own_seat(&book).cloned();
+            let mut state = lock(&self.holder);
+            if seat.is_some() {
+                self.align(&mut state, &book);
+            } else {
+                *state = HolderState {
+                    failing: std::mem::take(&mut state.failing),
+                    refence: state.refence,
+                    ..HolderState::default()
+                };
+            }
+            (seat, state.refence)
+        };
+        let Some(seat) = seat else { return };
+        if refence && !self.refence(&seat).await {
+            return;
+        }
+        self.settle_blocks().await;
+        // Changes of the state service are scarce: what is planned only when one
+        // may be made is not outdated when it is sent.
+        let wait = self.store.commit_wait(Urgency::Place);
+        let (changes, stops, mates) = {
+            let book = self.store.book();
+            let Some(seat) = self.own_seat(&book) else {
+                return;
+            };
+            let mut state = lock(&self.holder);
+            let now = Instant::now();
+            let mut changes = Changes::default();
+            if wait.is_none() {
+                self.collect_results(&mut state, &book, now, &mut changes);
+                if self.store.is_reachable() {
+                    self.place_offers(&mut state, &book, seat, now, &mut changes);
+                }
+            }
+            let mut mates = BTreeMap::new();
+            let stops = self.collect_stops(&mut state, &book, now, &mut mates);
+            (changes, stops, mates)
+        };
+        for (node, tasks) in mates {
+            let this = self.clone();
+            tokio::spawn(async move {
+                // Unanswered: the gang falls back to its last checkpoint.
+                let _ = this.peers.call(&node, PeerCall::Preempt(tasks)).await;
+            });
+        }
+        for (machine, commands) in stops {
+            self.send_orders(machine, None, commands);
+        }
+        if let Some(wait) = wait {
+            self.pause(wait).await;
+            self.holder_kick.notify_one();
+            return;
+        }
+        self.commit_changes(changes).await;
+    }
+
+    /// Views exist for our blocks' machines and for no others.
+    fn align(&self, state: &mut HolderState, book: &Book) {
+        let HolderState {
+            views, preempting, ..
+        } = state;
+        preempting.retain(|task, attempt| {
+            book.jobs
+                .get(&task.job)
+                .and_then(|job| job.placement(task.index))
+                .is_some_and(|placement| placement.attempt == *attempt)
+        });
+        let blocks: Vec<(BlockId, Revision)> = self
+            .own_blocks(book)
+            .map(|(id, kept)| (id, kept.mark))
+            .collect();
+        if state.aligned == blocks {
+            return;
+        }
+        let now = Instant::now();
+        views.retain(|id, view| {
+            self.own_block_of(book, id).is_some()
+                && view.acquired == Token::from(book.held_since(id))
+        });
+        for (_, kept) in self.own_blocks(book) {
+            for id in kept.value.machines.keys() {
+                views
+                    .entry(id.clone())
+                    .or_insert_with(|| View::new(book.held_since(id).into(), now));
+            }
+        }
+        state.aligned = blocks;
+    }
+
+    /// Blocks with unanswered starts are written anew: a start that may still be
+    /// on its way is not executed under a higher token.
+    async fn settle_blocks(&self) {
+        let unsettled: Vec<(BlockId, Kept<BlockRecord>)> = {
+            let book = self.store.book();
+            let state = lock(&self.holder);
+            let mut found: BTreeMap<BlockId, Kept<BlockRecord>> = BTreeMap::new();
+            for (id, view) in &state.views {
+                let wants = view.unsettled.is_some_and(|(token, at)| {
+                    at.elapsed() > SETTLE_AFTER && view.heard > at && token >= view.token
+                });
+                if wants && let Some((block, kept)) = self.own_block_of(&book, id) {
+                    // Raised already: the worker only has to hear of it.
+                    let raised = view
+                        .unsettled
+                        .is_some_and(|(token, _)| Token::from(kept.mark) > token);
+                    if !raised {
+                        found.insert(block, kept.clone());
+                    }
+                }
+            }
+            found.into_iter().take(4).collect()
+        };
+        for (id, kept) in unsettled {
+            let key = keys::block(id);
+            let transaction = Transaction::default()
+                .require(key.clone(), kept.mark)
+                .set(key, &kept.value);
+            match self.store.commit(&transaction, Urgency::Fence).await {
+                Ok(mark) => tracing::debug!(block = %id, token = %mark, "raised its token"),
+                Err(error) => {
+                    tracing::debug!(block = %id, %error, "cannot raise its token");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Writes the seat anew: no earlier commit of ours applies to its new
+    /// revision.
+    async fn refence(&self, seat: &Kept<SeatRecord>) -> bool {
+        let key = keys::seat(&self.config.node);
+        let transaction = Transaction::default()
+            .require(key.clone(), seat.mark)
+            .set(key, &seat.value);
+        match self.store.commit(&transaction, Urgency::Fence).await {
+            Ok(mark) => {
+                tracing::debug!(%mark, "wrote our seat anew");
+                // What was committed before it is in the book only after this.
+                let fresh = self.store.fresh().await;
+                lock(&self.holder).refence = !fresh;
+                fresh
+            }
+            Err(error) => {
+                tracing::debug!(%error, "cannot write our seat anew");
+                lock(&self.holder).refence |= error.is_unknown();
+                if !self.store.fresh().await {
+                    self.pause(Duration::from_millis(200)).await;
+                }
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/holder/placing.rs
@@ -0,0 +1,375 @@
+//! Places offered tasks on the holder's machines, by least estimated completion.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::{
+    super::{
+        policy::zones::{CONDITIONS_PER_CHANGE, ZoneConstraint, ZoneScope},
+        zones,
+    },
+    HolderState,
+    change::{Changes, JobChange},
+};
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        policy::placement,
+        ports::Command,
+        view::View,
+    },
+    storage::{
+        AMOUNT_SLACK, BlockId, Book, JobId, JobKind, JobSpec, MachineId, Quota, TaskId, TeamName,
+        ZoneName,
+        book::{self, Kept},
+        keys,
+        records::{MachineUse, SeatRecord},
+    },
+};
+
+/// What the holder's tasks use of a team's limit, and may use.
+struct TeamUse {
+    used: Quota,
+    budget: Quota,
+}
+
+/// Room and quota that a round's placements have left.
+#[derive(Clone)]
+struct Free {
+    slots: Vec<placement::Slot>,
+    used: BTreeMap<TeamName, Quota>,
+}
+
+/// A job of which the leader has offered tasks.
+struct OfferedJob<'a> {
+    id: &'a JobId,
+    spec: &'a JobSpec,
+    job: &'a book::Job,
+}
+
+impl OfferedJob<'_> {
+    /// The offered tasks that wait for a place, but for those that this very round
+    /// writes about.
+    fn unplaced(&self, state: &HolderState, changes: &Changes) -> Vec<u32> {
+        let OfferedJob { id, spec, job } = *self;
+        let written = |task: u32| {
+            let change = changes.0.get(&(id.clone(), task / keys::CHUNK));
+            change.is_some_and(|change| {
+                let record = &change.record;
+                record.is_done(task) || record.placed.get(&task) != job.recorded(task)
+            })
+        };
+        let offer = state.offers.get(id);
+        let tasks = offer.into_iter().flat_map(|offer| &offer.tasks).copied();
+        tasks
+            .filter(|task| {
+                *task < spec.tasks
+                    && job.placement(*task).is_none()
+                    && !job.is_task_done(*task)
+                    && !written(*task)
+            })
+            .collect()
+    }
+}
+
+/// The jobs that were offered and still run, the most pressing first.
+fn offered_jobs<'a>(state: &HolderState, book: &'a Book) -> Vec<OfferedJob<'a>> {
+    let mut jobs: Vec<OfferedJob<'a>> = state
+        .offers
+        .keys()
+        .filter_map(|id| {
+            let (id, job) = book.jobs.get_key_value(id)?;
+            let spec = job.spec()?;
+            job.draining
+                .is_none()
+                .then_some(OfferedJob { id, spec, job })
+        })
+        .collect();
+    jobs.sort_by_key(|offered| {
+        let spec = offered.spec;
+        (
+            std::cmp::Reverse(spec.priority),
+            spec.accepted_ms + spec.deadline.map_or(0, |d| d.as_millis() as u64),
+            offered.id.clone(),
+        )
+    });
+    jobs
+}
+
+/// Whether a placement of the job is conditional on all of its run records.
+pub(super) fn depends_on_all_records(spec: &JobSpec, changes_per_transaction: usize) -> bool {
+    spec.is_zone_bound() && ZoneScope::of(spec, changes_per_transaction) == ZoneScope::WholeJob
+}
+
+impl Node {
+    /// Free room on our machines, as far as it may be used now.
+    fn slots(&self, state: &HolderState, book: &Book, now: Instant) -> Vec<placement::Slot> {
+        let mut slots = Vec::new();
+        let now_ms = self.config.now_ms();
+        let quiet = self.config.worker_report.mul_f64(1.5);
+        let patience = self.config.deaf_after();
+        let blocks = self.own_blocks(book).filter(|(_, kept)| !kept.value.frozen);
+        for (id, usage) in blocks.flat_map(|(_, kept)| &kept.value.machines) {
+            let (Some(view), Some(record)) = (state.views.get(id), book.machines.get(id)) else {
+                continue;
+            };
+            let Some(kind) = book.machine_type(&record.kind) else {
+                continue;
+            };
+            if *usage == MachineUse::Frozen
+                || !view.reported
+                || view.silent(now) > quiet
+                || view.unreachable
+                || view.unsettled.is_some()
+                || view.leaves_at.is_some()
+                || view.is_suspect(now)
+                || view.is_deaf(patience, now)
+            {
+                continue;
+            }
+            let mut room = kind.size;
+            if let Some(load) = book.on_machine.get(id) {
+                room -= load.taken;
+                room += view.freed(load);
+            }
+            if room.cpus < AMOUNT_SLACK {
+                continue;
+            }
+            let age = Duration::from_millis(now_ms.saturating_sub(record.rented_ms));
+            slots.push(placement::Slot {
+                group: 0,
+                machine: id.clone(),
+                kind: record.kind.clone(),
+                zone: record.zone.clone(),
+                spot: record.spot,
+                room,
+                size: kind.size,
+                fetch_gb_per_s: kind.fetch_gb_per_s,
+                speed: view.speed,
+                images: view.images(),
+                leaves_in: (*usage == MachineUse::Marked)
+                    .then(|| self.config.tuning.paid.left(age)),
+            });
+        }
+        slots
+    }
+
+    pub(super) fn place_offers(
+        &self,
+        state: &mut HolderState,
+        book: &Book,
+        seat: &Kept<SeatRecord>,
+        now: Instant,
+        changes: &mut Changes,
+    ) {
+        state.offers.retain(|_, offer| offer.until > now);
+        if state.offers.is_empty() {
+            return;
+        }
+        let machines = self
+            .own_blocks(book)
+            .flat_map(|(_, kept)| kept.value.machines.keys());
+        let mut free = Free {
+            slots: self.slots(state, book, now),
+            used: book.quota_used(machines),
+        };
+        for offered in offered_jobs(state, book) {
+            let tasks = offered.unplaced(state, changes);
+            if offered.spec.kind == JobKind::Gang && (tasks.is_empty() || !offered.job.may_join()) {
+                continue;
+            }
+            let chosen = self.place_job(state, book, seat, &offered, &tasks, &mut free);
+            self.note_placements(state, book, &offered, chosen, &free.slots, changes);
+        }
+    }
+
+    /// Slots for the tasks of one job that was offered, as far as room and quota last;
+    /// for those of a gang all or none.
+    fn place_job(
+        &self,
+        state: &HolderState,
+        book: &Book,
+        seat: &Kept<SeatRecord>,
+        offered: &OfferedJob<'_>,
+        tasks: &[u32],
+        free: &mut Free,
+    ) -> Vec<(u32, usize)> {
+        let OfferedJob { id, spec, job } = *offered;
+        let scope = ZoneScope::of(spec, self.config.state.txn_ops);
+        if zones::needs_home(spec, scope) {
+            return Vec::new();
+        }
+        let gang = spec.kind == JobKind::Gang;
+        let before = gang.then(|| free.clone());
+        let budgets = &seat.value.budgets;
+        let mut team = TeamUse {
+            used: free.used.get(&spec.team).copied().unwrap_or_default(),
+            budget: budgets.get(&spec.team).copied().unwrap_or_default(),
+        };
+        let mut chosen = Vec::with_capacity(tasks.len());
+        for (tasks, constraint) in zones::constrained_parts(book, job, scope, tasks) {
+            let slots = &mut free.slots;
+            let part = if gang && spec.one_zone && constraint.is_open() {
+                self.choose_zone(&state.views, (id, job), tasks, slots, &mut team)
+            } else {
+                self.choose_slots(&state.views, (id, job), tasks, slots, &mut team, constraint)
+            };
+            chosen.extend(part);
+        }
+        free.used.insert(spec.team.clone(), team.used);
+        if let Some(before) = before
+            && chosen.len() < tasks.len()
+        {
+            // A gang's part is placed whole or not at all.
+            *free = before;
+            return Vec::new();
+        }
+        chosen
+    }
+
+    /// Notes in the round's changes that these tasks are placed, and the starts that
+    /// follow once that is committed.
+    fn note_placements(
+        &self,
+        state: &HolderState,
+        book: &Book,
+        offered: &OfferedJob<'_>,
+        chosen: Vec<(u32, usize)>,
+        slots: &[placement::Slot],
+        changes: &mut Changes,
+    ) {
+        let OfferedJob { id, spec, job } = *offered;
+        for (task, at) in chosen {
+            let machine = &slots[at].machine;
+            let (Some(view), Some((block, kept))) =
+                (state.views.get(machine), self.own_block_of(book, machine))
+            else {
+                continue;
+            };
+            let session = view.session;
+            let change = changes.of(id, job, task);
+            if !self.has_condition_for(change, job, block) {
+                continue;
+            }
+            let attempt = match spec.kind {
+                JobKind::Gang => job.gang_attempt(),
+                JobKind::Array | JobKind::Service => change.record.next_attempt(task),
+            };
+            change.record.place(task, machine.clone(), session, attempt);
+            change.places = true;
+            change.fenced = true;
+            change.blocks.insert(block, kept.mark);
+            let task = TaskId::new(id.clone(), task);
+            let start = Command::Start { task, attempt };
+            change.starts.push((machine.clone(), session, start));
+        }
+    }
+
+    /// As [`Self::choose_slots`] for a gang that is bound to one zone and has no task
+    /// anywhere yet: the first zone that has room for all of them.
+    fn choose_zone(
+        &self,
+        views: &BTreeMap<MachineId, View>,
+        (id, job): (&JobId, &book::Job),
+        tasks: &[u32],
+        slots: &mut Vec<placement::Slot>,
+        team: &mut TeamUse,
+    ) -> Vec<(u32, usize)> {
+        let Some(spec) = job.spec() else {
+            return Vec::new();
+        };
+        let found: BTreeSet<ZoneName> = slots.iter().map(|slot| slot.zone.clone()).collect();
+        for zone in found {
+            let before = (slots.clone(), team.used);
+            let mut only = ZoneConstraint::of_job(spec);
+            only.confine(zone);
+            let chosen = self.choose_slots(views, (id, job), tasks, slots, team, only);
+            if chosen.len() == tasks.len() {
+                return chosen;
+            }
+            (*slots, team.used) = before;
+        }
+        Vec::new()
+    }
+
+    /// Whether a transaction that writes this record can be conditional on one more
+    /// block, beside its seat, spec, fate and the job's records.
+    pub(super) fn has_condition_for(
+        &self,
+        change: &JobChange,
+        job: &book::Job,
+        block: BlockId,
+    ) -> bool {
+        let changes = self.config.state.txn_ops;
+        let records = match job.spec() {
+            Some(spec) if depends_on_all_records(spec, changes) => spec.records() as usize,
+            _ => 1,
+        };
+        let most = (CONDITIONS_PER_CHANGE * changes).saturating_sub(3 + records);
+        change.blocks.contains_key(&block) || change.blocks.len() < most.max(1)
+    }
+
+    /// A slot for each of the tasks, as far as room and budget last.
+    fn choose_slots(
+        &self,
+        views: &BTreeMap<MachineId, View>,
+        (id, job): (&JobId, &book::Job),
+        tasks: &[u32],
+        slots: &mut [placement::Slot],
+        team: &mut TeamUse,
+        mut constraint: ZoneConstraint,
+    ) -> Vec<(u32, usize)> {
+        let Some(spec) = job.spec() else {
+            return Vec::new();
+        };
+        let now = Instant::now();
+        let factor = lock(&self.learning).factor(&spec.class);
+        let quota = Quota::of(&spec.per_task);
+        let mut admits = |slot: &placement::Slot| {
+            let after = team.used.plus(&quota);
+            let admitted = team.budget.covers(&after)
+                && constraint.admits(&slot.zone)
+                && views
+                    .get(&slot.machine)
+                    .is_some_and(|view| !view.refuses(id, now));
+            if admitted {
+                team.used = after;
+                constraint.add(&slot.zone);
+            }
+            admitted
+        };
+        // A task that was placed before may still be listed by a machine, which
+        // would refuse it: such tasks look at each machine by themselves.
+        let (again, fresh): (Vec<u32>, Vec<u32>) = tasks.iter().partition(|task| {
+            job.chunks.get(&(**task / keys::CHUNK)).is_some_and(|kept| {
+                kept.value.before.contains_key(task) || kept.value.placed.contains_key(task)
+            })
+        });
+        let mut chosen = Vec::with_capacity(tasks.len());
+        for task in again {
+            let task_id = TaskId::new(id.clone(), task);
+            let at = placement::choose(spec, slots, factor, |slot| {
+                let listed = views
+                    .get(&slot.machine)
+                    .is_some_and(|view| view.tasks.contains_key(&task_id));
+                !listed
+                    && views
+                        .get(&slot.machine)
+                        .is_some_and(|view| !view.refuses(id, now))
+            });
+            if let Some(at) = at
+                && admits(&slots[at])
+            {
+                slots[at].put(spec);
+                chosen.push((task, at));
+            }
+        }
+        let filled = placement::fill(spec, slots, factor, fresh.len(), admits);
+        chosen.extend(fresh.into_iter().zip(filled));
+        chosen
+    }
+}
--- /dev/null
+++ b/src/coordination/holder/results.rs
@@ -0,0 +1,211 @@
+//! Finds out which of the holder's tasks are over, and learns from how they ended.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{HolderState, Outcome, change::Changes};
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        ports::{Exit, TaskState},
+        view::View,
+    },
+    storage::{Attempt, Book, MachineId, TaskId, book, records::Placement},
+};
+
+impl Node {
+    /// Whether a placed task of ours is over, as far as its machine's view tells.
+    pub(super) fn outcome(
+        &self,
+        view: &View,
+        job: Option<&book::Job>,
+        task: &TaskId,
+        placement: &Placement,
+        preempting: &BTreeMap<TaskId, Attempt>,
+    ) -> Option<Outcome> {
+        if !view.reported {
+            return None;
+        }
+        if view.outlived(placement.session) {
+            return Some(Outcome::Gone);
+        }
+        let seen = view
+            .tasks
+            .get(task)
+            .filter(|seen| seen.attempt == placement.attempt);
+        match seen.map(|seen| seen.state) {
+            Some(TaskState::Exited(exit)) => Some(Outcome::Ended(exit)),
+            Some(_) => None,
+            None => {
+                let unwanted = job.is_none_or(|job| job.draining.is_some())
+                    || preempting.get(task) == Some(&placement.attempt);
+                (unwanted && placement.session == view.session && view.absence_is_proof(task))
+                    .then_some(Outcome::Gone)
+            }
+        }
+    }
+
+    /// Notes which jobs have results on a machine whose view has just changed;
+    /// true if there are any.
+    pub(in crate::coordination) fn note_results(
+        &self,
+        state: &mut HolderState,
+        book: &Book,
+        machine: &MachineId,
+        now: Instant,
+    ) -> bool {
+        let HolderState {
+            views,
+            results,
+            preempting,
+            ..
+        } = state;
+        let (Some(load), Some(view)) = (book.on_machine.get(machine), views.get_mut(machine))
+        else {
+            return false;
+        };
+        let mut any = false;
+        let cache = book
+            .machines
+            .get(machine)
+            .and_then(|record| book.machine_type(&record.kind))
+            .map(|kind| kind.cache_gb);
+        for (task, placed) in &load.tasks {
+            let running = view
+                .tasks
+                .get(task)
+                .is_some_and(|seen| seen.state == TaskState::Running);
+            if running && let (Some(spec), Some(cache)) = (&placed.spec, cache) {
+                view.note_image(&spec.image, spec.image_gb, cache);
+            }
+            let job = book.jobs.get(&task.job);
+            let outcome = self.outcome(view, job, task, &placed.placement, preempting);
+            if outcome.is_some() {
+                any = true;
+                if !results.contains_key(&task.job) {
+                    results.insert(task.job.clone(), now);
+                }
+            }
+        }
+        any
+    }
+
+    /// Results of a job may wait for others of it, as each record written costs
+    /// one of the scarce changes; the longer, the fewer of these are left. Room
+    /// does not wait for them, nor does a result that ends the job, or our part
+    /// of it.
+    pub(super) fn result_patience(&self) -> Duration {
+        match self.store.spare_writes() {
+            spare if spare > 0.85 => Duration::from_millis(200),
+            spare if spare > 0.6 => Duration::from_millis(1500),
+            spare if spare > 0.3 => Duration::from_millis(4000),
+            _ => Duration::from_millis(8000),
+        }
+    }
+
+    pub(super) fn collect_results(
+        &self,
+        state: &mut HolderState,
+        book: &Book,
+        now: Instant,
+        changes: &mut Changes,
+    ) {
+        let patience = self.result_patience();
+        let HolderState {
+            views,
+            results,
+            preempting,
+            ..
+        } = state;
+        results.retain(|id, since| {
+            let Some(job) = book.jobs.get(id) else {
+                return false;
+            };
+            let mut found: Vec<(u32, &Placement, Outcome)> = Vec::new();
+            let mut open = 0;
+            for (index, placement) in job.chunks.values().flat_map(|kept| &kept.value.placed) {
+                let Some(view) = views.get(&placement.machine) else {
+                    continue;
+                };
+                let task = TaskId::new(id.clone(), *index);
+                match self.outcome(view, Some(job), &task, placement, preempting) {
+                    Some(outcome) => found.push((*index, placement, outcome)),
+                    None => open += 1,
+                }
+            }
+            if found.is_empty() {
+                return false;
+            }
+            if open > 0 && now.duration_since(*since) < patience {
+                return true;
+            }
+            for (index, placement, outcome) in found {
+                let change = changes.of(id, job, index);
+                if outcome == Outcome::Gone
+                    && let Some((block, kept)) = self.own_block_of(book, &placement.machine)
+                {
+                    if !self.has_condition_for(change, job, block) {
+                        // In the next round.
+                        continue;
+                    }
+                    change.fenced = true;
+                    change.blocks.insert(block, kept.mark);
+                }
+                match outcome {
+                    Outcome::Ended(Exit::Done) => change.record.complete(index),
+                    _ => change.record.unplace(index),
+                }
+                if let Outcome::Ended(exit) = outcome {
+                    let task = TaskId::new(id.clone(), index);
+                    change.ends.push((task, placement.machine.clone(), exit));
+                }
+            }
+            // It stays until the book shows the result.
+            true
+        });
+    }
+
+    /// What a written end of a task tells about its class and its machine. Only
+    /// now, so that a result whose commit is repeated counts once.
+    pub(super) fn learn_from(
+        &self,
+        state: &mut HolderState,
+        book: &Book,
+        task: &TaskId,
+        machine: &MachineId,
+        exit: Exit,
+    ) {
+        let now = Instant::now();
+        let Some(view) = state.views.get_mut(machine) else {
+            return;
+        };
+        if exit == Exit::Done {
+            let spec = book.jobs.get(&task.job).and_then(|job| job.spec());
+            let since = view.tasks.get(task).and_then(|seen| seen.running_since);
+            if let (Some(spec), Some(since)) = (spec, since)
+                && let Some(ratio) = lock(&self.learning).learn(
+                    &spec.class,
+                    spec.estimate,
+                    now.duration_since(since),
+                )
+            {
+                view.speed += 0.1 * (1.0 / ratio.clamp(0.2, 5.0) - view.speed);
+            }
+            return;
+        }
+        tracing::debug!(%task, %machine, ?exit, "ended");
+        match exit {
+            Exit::Failed => {
+                view.note_failure(&task.job, now);
+                view.refuse(&task.job, now + Duration::from_secs(60), now);
+                state.note_failure(task, machine, now);
+            }
+            // Something is on the machine that we do not know of yet.
+            Exit::NoRoom | Exit::Busy => view.refuse(&task.job, now + Duration::from_secs(3), now),
+            // Its user has not uploaded the description yet, or never will.
+            Exit::Unknown => state.note_failure(task, machine, now),
+            Exit::Stopped | Exit::Other | Exit::Done => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/holder/stopping.rs
@@ -0,0 +1,130 @@
+//! Decides which tasks are told to stop ahead of the next report.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::HolderState;
+use crate::{
+    coordination::{
+        node::Node,
+        ports::{Command, TaskState},
+        reports::grace,
+    },
+    storage::{Book, JobId, JobKind, MachineId, NodeName, TaskId, records::Placement},
+};
+
+/// Before a stop that was not obeyed is sent again directly.
+const STOP_AGAIN: Duration = Duration::from_secs(2);
+
+impl Node {
+    /// Tasks to be stopped now, directly rather than with the next answer. `mates`:
+    /// those of gangs that other controllers are to stop with them, since a gang
+    /// saves only if all of it is told within `gang_peer_s`.
+    pub(super) fn collect_stops(
+        &self,
+        state: &mut HolderState,
+        book: &Book,
+        now: Instant,
+        mates: &mut BTreeMap<NodeName, Vec<TaskId>>,
+    ) -> Vec<(MachineId, Vec<Command>)> {
+        let HolderState {
+            views, preempting, ..
+        } = state;
+        let mut leaving_gangs: BTreeSet<JobId> = BTreeSet::new();
+        let mut wanted: Vec<(TaskId, &Placement)> = Vec::new();
+        let ending = book.ending.iter().filter(|id| book.is_cancelled(id));
+        let told = book
+            .told_cancelled()
+            .filter(|id| !book.ending.contains(*id));
+        for id in ending.chain(told) {
+            let Some(job) = book.jobs.get(id) else {
+                continue;
+            };
+            for (index, placement) in job.chunks.values().flat_map(|kept| &kept.value.placed) {
+                wanted.push((TaskId::new(id.clone(), *index), placement));
+            }
+        }
+        for (task, attempt) in preempting.iter() {
+            let job = book.jobs.get(&task.job);
+            if let Some(placement) = job.and_then(|job| job.placement(task.index))
+                && placement.attempt == *attempt
+            {
+                wanted.push((task.clone(), placement));
+            }
+        }
+        // The cloud takes the machine: replicas go to another one before it
+        // does, and tasks that can save do so.
+        for (machine, view) in views.iter() {
+            let Some(leaves_at) = view.leaves_at else {
+                continue;
+            };
+            for (task, placed) in book.on_machine.get(machine).iter().flat_map(|l| &l.tasks) {
+                if let Some(spec) = placed.spec.as_ref().filter(|s| s.kind == JobKind::Gang) {
+                    let seen = view.tasks.get(task);
+                    let since = seen.and_then(|seen| seen.running_since);
+                    let ends_first = since.is_some_and(|at| at + spec.estimate < leaves_at);
+                    let lately = view.stops_sent.contains_key(task);
+                    if !ends_first && !lately && now + spec.save < leaves_at {
+                        leaving_gangs.insert(task.job.clone());
+                    }
+                    continue;
+                }
+                let leaves = placed.spec.as_ref().is_some_and(|spec| {
+                    spec.kind == JobKind::Service
+                        || (!spec.checkpoint.is_zero() && now + spec.save < leaves_at)
+                });
+                if leaves {
+                    wanted.push((task.clone(), &placed.placement));
+                }
+            }
+        }
+        for id in leaving_gangs {
+            let Some(job) = book.jobs.get(&id) else {
+                continue;
+            };
+            for (index, placement) in job.present_placements() {
+                let task = TaskId::new(id.clone(), index);
+                if views.contains_key(&placement.machine) {
+                    preempting.insert(task.clone(), placement.attempt);
+                    wanted.push((task, placement));
+                } else if let Some((_, kept)) = book.block_of(&placement.machine) {
+                    let there = mates.entry(kept.value.node.clone()).or_default();
+                    there.push(task);
+                }
+            }
+        }
+        let mut stops: BTreeMap<MachineId, Vec<Command>> = BTreeMap::new();
+        for (task, placement) in wanted {
+            let Some(view) = views.get_mut(&placement.machine) else {
+                continue;
+            };
+            let over = view.tasks.get(&task).is_some_and(|seen| {
+                seen.attempt == placement.attempt && matches!(seen.state, TaskState::Exited(_))
+            });
+            let lately = view
+                .stops_sent
+                .get(&task)
+                .is_some_and(|at| now.duration_since(*at) < STOP_AGAIN);
+            if over || lately {
+                continue;
+            }
+            view.stops_sent.insert(task.clone(), now);
+            let job = book.jobs.get(&task.job);
+            let cancelled = book.is_cancelled(&task.job);
+            let spec = job.and_then(|job| job.spec()).map(|spec| &**spec);
+            stops
+                .entry(placement.machine.clone())
+                .or_default()
+                .push(Command::Stop {
+                    task,
+                    attempt: placement.attempt,
+                    grace: grace(spec, cancelled),
+                });
+        }
+        stops.into_iter().collect()
+    }
+}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod blocks;
 pub mod fleet;
+mod homes;
 pub mod routing;
 pub mod stats;
 
@@ -52,6 +53,8 @@
     clearing: routing::Clearing,
     bound: routing::Bound,
     gangs: routing::Gangs,
+    /// When the zone of a job was last written or taken back.
+    homes: BTreeMap<JobId, Instant>,
     unplaced: Vec<routing::Unplaced>,
     tally: routing::Tally,
     /// Machines that are gone with tasks on them, since when.
@@ -526,6 +529,7 @@
                 bound,
                 gangs,
                 failing: &failing,
+                changes_per_transaction: self.config.state.txn_ops,
                 start_target: self.config.tuning.start_target,
                 offer_life: self.config.tuning.offer,
                 now,
@@ -543,6 +547,7 @@
             }
             routed
         };
+        self.write_homes(routed.homes).await;
         for (node, tasks) in routed.preempt {
             if node == self.config.node {
                 self.take_preemptions(tasks);
--- a/src/coordination/leader/routing.rs
+++ b/src/coordination/leader/routing.rs
@@ -10,9 +10,12 @@
 use tokio::time::Instant;
 
 use super::super::{
-    holder::{zone_admits, zone_counts},
-    policy::{giveback, placement},
+    policy::{
+        giveback, placement,
+        zones::{ZoneConstraint, ZoneScope},
+    },
     ports::Offer,
+    zones,
 };
 use crate::storage::{book::Job, keys, records::MachineUse, *};
 
@@ -55,6 +58,8 @@
     pub short: BTreeMap<(NodeName, TeamName), Quota>,
     /// Quota that a holder is about to need, beside what it uses.
     pub kept: BTreeMap<(NodeName, TeamName), Quota>,
+    /// Jobs whose zone is to be written, or to be taken back.
+    pub homes: Vec<HomeChange>,
     /// Tasks of lower standing to stop for those of higher standing.
     pub preempt: BTreeMap<NodeName, Vec<TaskId>>,
     /// Replicas for which room was looked for.
@@ -65,6 +70,14 @@
     claimed: f64,
 }
 
+/// The zone that a job of many records is confined to from now on; none: its zone has
+/// no room, and another is to be chosen once none of its tasks can be there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HomeChange {
+    pub job: JobId,
+    pub zone: Option<ZoneName>,
+}
+
 /// A task under way to a holder, with the machine that the trial found for it.
 #[derive(Clone, Debug)]
 pub struct OfferedTo {
@@ -100,6 +113,8 @@
     pub bound: &'a mut Bound,
     pub gangs: &'a mut Gangs,
     pub failing: &'a BTreeMap<JobId, Instant>,
+    /// Changes in a transaction, which decide what zone-bound placements depend on.
+    pub changes_per_transaction: usize,
     pub start_target: Duration,
     pub offer_life: Duration,
     pub now: Instant,
@@ -142,7 +157,7 @@
             spot: spec.spot,
             // A marked machine takes an array's short tasks only.
             service: spec.kind == JobKind::Service,
-            bound: spec.spread || spec.one_zone || spec.kind == JobKind::Gang,
+            bound: spec.is_zone_bound() || spec.kind == JobKind::Gang,
             zone: spec.zone.clone(),
             types: spec.types.clone(),
         }
@@ -419,11 +434,15 @@
             self.clear_quota(candidate, tasks[within], routed);
             tasks.truncate(within);
         }
+        if self.awaits_home(candidate, tasks.len(), routed) {
+            self.note_unplaced(candidate, tasks.len() as u32, used, routed);
+            return;
+        }
         if gang {
             self.route_gang(candidate, &tasks, used, routed);
             return;
         }
-        let placed = if spec.one_zone || spec.spread {
+        let placed = if spec.is_zone_bound() {
             self.place_bound(candidate, &tasks, used)
         } else {
             self.place_by_record(candidate, &tasks, used)
@@ -548,7 +567,7 @@
             })
             .map(|(at, slot)| (at, slot.clone()))
             .unzip();
-        let mut zones = self.zones(candidate);
+        let mut constraint = self.constraint(candidate);
         let mut budgets: Vec<usize> = (0..self.open.nodes.len())
             .map(|group| match within.budgets {
                 true => self.budget_left(group, spec, used),
@@ -556,10 +575,10 @@
             })
             .collect();
         let chosen = placement::fill(spec, &mut slots, factor, count, |slot| {
-            let admitted = zone_admits(spec, &zones, &slot.zone) && budgets[slot.group] > 0;
+            let admitted = constraint.admits(&slot.zone) && budgets[slot.group] > 0;
             if admitted {
                 budgets[slot.group] -= 1;
-                *zones.entry(slot.zone.clone()).or_default() += 1;
+                constraint.add(&slot.zone);
             }
             admitted
         });
@@ -576,6 +595,60 @@
         Some(((fetched, complete.unwrap_or_default()), chosen))
     }
 
+    /// Chooses the zone of a job of many records that must be in one zone, or has it
+    /// chosen anew when its zone has no room while another has. True: nothing of it is
+    /// placed in this pass.
+    fn awaits_home(&self, candidate: &Candidate<'_>, tasks: usize, routed: &mut Routed) -> bool {
+        let Candidate { id, spec, job, .. } = candidate;
+        if !spec.one_zone || self.scope(spec) == ZoneScope::WholeJob {
+            return false;
+        }
+        let needed = if spec.kind == JobKind::Gang { tasks } else { 1 };
+        let room = self.room_by_zone(spec);
+        let best = room.iter().max_by_key(|(_, room)| **room);
+        let roomy = best
+            .filter(|(_, room)| **room >= needed)
+            .map(|(zone, _)| zone);
+        let change = |zone| HomeChange {
+            job: (*id).clone(),
+            zone,
+        };
+        match &spec.home {
+            None => {
+                let settled = zones::of_job(self.book, job).settled_zone().cloned();
+                if let Some(zone) = settled.or(roomy.cloned()) {
+                    routed.homes.push(change(Some(zone)));
+                }
+                true
+            }
+            Some(home) => {
+                let nowhere = job.present() == 0 && !self.offered.contains_key(*id);
+                let has_room = room.get(home).is_some_and(|room| *room >= needed);
+                let moves = nowhere && !has_room && roomy.is_some();
+                if moves {
+                    routed.homes.push(change(None));
+                }
+                moves
+            }
+        }
+    }
+
+    /// Tasks of the job that fit in each zone that it allows, wherever it is confined to.
+    fn room_by_zone(&self, spec: &JobSpec) -> BTreeMap<ZoneName, usize> {
+        let anywhere = JobSpec {
+            home: None,
+            ..spec.clone()
+        };
+        let mut room: BTreeMap<ZoneName, usize> = BTreeMap::new();
+        for slot in &self.open.slots {
+            if placement::allowed(&anywhere, slot) {
+                let fit = spec.per_task.count_in(&slot.room) as usize;
+                *room.entry(slot.zone.clone()).or_default() += fit;
+            }
+        }
+        room
+    }
+
     fn offer(&mut self, id: &JobId, task: u32, at: usize, routed: &mut Routed) {
         routed.offered += 1;
         let slot = &self.open.slots[at];
@@ -599,18 +672,52 @@
         }
     }
 
-    /// Where a job's tasks are; those under way are as good as there.
-    fn zones(&self, candidate: &Candidate<'_>) -> BTreeMap<ZoneName, u32> {
-        let mut zones = zone_counts(self.book, candidate.job);
-        if candidate.spec.one_zone || candidate.spec.spread {
-            let under_way = self.offered.get(candidate.id);
-            for offered in under_way.iter().flat_map(|tasks| tasks.values()) {
-                if let Some(record) = self.book.machines.get(&offered.machine) {
-                    *zones.entry(record.zone.clone()).or_default() += 1;
-                }
+    fn scope(&self, spec: &JobSpec) -> ZoneScope {
+        ZoneScope::of(spec, self.changes_per_transaction)
+    }
+
+    /// The zone constraint for the next task of a job; those under way are as good as
+    /// there.
+    fn constraint(&self, candidate: &Candidate<'_>) -> ZoneConstraint {
+        let mut constraint = zones::of_job(self.book, candidate.job);
+        self.count_offered(candidate, &mut constraint, |_| true);
+        constraint
+    }
+
+    /// The tasks in parts that share a zone constraint.
+    fn constrained_parts<'t>(
+        &self,
+        candidate: &Candidate<'_>,
+        tasks: &'t [u32],
+    ) -> Vec<zones::ConstrainedPart<'t>> {
+        let scope = self.scope(candidate.spec);
+        let mut parts = zones::constrained_parts(self.book, candidate.job, scope, tasks);
+        for (part, constraint) in &mut parts {
+            let record = part.first().map_or(0, |task| task / keys::CHUNK);
+            self.count_offered(candidate, constraint, |task| {
+                scope == ZoneScope::WholeJob || task / keys::CHUNK == record
+            });
+        }
+        parts
+    }
+
+    fn count_offered(
+        &self,
+        candidate: &Candidate<'_>,
+        constraint: &mut ZoneConstraint,
+        counts: impl Fn(u32) -> bool,
+    ) {
+        if !candidate.spec.is_zone_bound() {
+            return;
+        }
+        let under_way = self.offered.get(candidate.id);
+        for (task, offered) in under_way.into_iter().flatten() {
+            if let Some(record) = self.book.machines.get(&offered.machine)
+                && counts(*task)
+            {
+                constraint.add(&record.zone);
             }
         }
-        zones
     }
 
     /// Tasks that are bound to zones, or to each other's: by least estimated
@@ -622,22 +729,26 @@
         used: &mut Used,
     ) -> Vec<(u32, usize)> {
         let spec = candidate.spec;
-        let mut zones = self.zones(candidate);
         let mut budgets: Vec<usize> = (0..self.open.nodes.len())
             .map(|group| self.budget_left(group, spec, used))
             .collect();
         let factor = (self.factor)(&spec.class);
         let quota = Quota::of(&spec.per_task);
-        let chosen = placement::fill(spec, &mut self.open.slots, factor, tasks.len(), |slot| {
-            let admitted = zone_admits(spec, &zones, &slot.zone) && budgets[slot.group] > 0;
-            if admitted {
-                budgets[slot.group] -= 1;
-                *zones.entry(slot.zone.clone()).or_default() += 1;
-                used.add(slot.group, &spec.team, &quota);
-            }
-            admitted
-        });
-        tasks.iter().copied().zip(chosen).collect()
+        let mut placed = Vec::with_capacity(tasks.len());
+        for (part, mut constraint) in self.constrained_parts(candidate, tasks) {
+            let slots = &mut self.open.slots;
+            let chosen = placement::fill(spec, slots, factor, part.len(), |slot| {
+                let admitted = constraint.admits(&slot.zone) && budgets[slot.group] > 0;
+                if admitted {
+                    budgets[slot.group] -= 1;
+                    constraint.add(&slot.zone);
+                    used.add(slot.group, &spec.team, &quota);
+                }
+                admitted
+            });
+            placed.extend(part.iter().copied().zip(chosen));
+        }
+        placed
     }
 
     /// The holders that have tasks of this record, and so write it.
@@ -727,8 +838,8 @@
         routed: &mut Routed,
     ) {
         let spec = candidate.spec;
-        let covered = if spec.spread || spec.one_zone {
-            self.lacking_bound(candidate, tasks.len(), used, routed)
+        let covered = if spec.is_zone_bound() {
+            self.lacking_bound(candidate, tasks, used, routed)
         } else {
             self.lacking(candidate, tasks, used, routed)
         };
@@ -790,21 +901,24 @@
     fn lacking_bound(
         &mut self,
         candidate: &Candidate<'_>,
-        count: usize,
+        tasks: &[u32],
         used: &mut Used,
         routed: &mut Routed,
     ) -> usize {
         let spec = candidate.spec;
         let factor = (self.factor)(&spec.class);
         let quota = Quota::of(&spec.per_task);
-        let mut zones = self.zones(candidate);
-        let roomy = placement::fill(spec, &mut self.open.slots, factor, count, |slot| {
-            let admitted = zone_admits(spec, &zones, &slot.zone);
-            if admitted {
-                *zones.entry(slot.zone.clone()).or_default() += 1;
-            }
-            admitted
-        });
+        let mut roomy = Vec::new();
+        for (part, mut constraint) in self.constrained_parts(candidate, tasks) {
+            let slots = &mut self.open.slots;
+            roomy.extend(placement::fill(spec, slots, factor, part.len(), |slot| {
+                let admitted = constraint.admits(&slot.zone);
+                if admitted {
+                    constraint.add(&slot.zone);
+                }
+                admitted
+            }));
+        }
         self.note_short(spec, &roomy, used, routed);
         for at in &roomy {
             used.add(self.open.slots[*at].group, &spec.team, &quota);
@@ -935,12 +1049,14 @@
             return false;
         }
         routed.cleared += 1;
-        let zones = self.zones(candidate);
+        let parts = self.constrained_parts(candidate, std::slice::from_ref(&task));
+        let constraint = parts.into_iter().map(|(_, constraint)| constraint).next();
+        let constraint = constraint.unwrap_or_default();
         let mut best: Option<(usize, bool, u64, usize, Vec<TaskId>)> = None;
         for (at, slot) in self.open.slots.iter().enumerate() {
             if !placement::allowed(spec, slot)
                 || slot.leaves_in.is_some()
-                || !zone_admits(spec, &zones, &slot.zone)
+                || !constraint.admits(&slot.zone)
                 || best.as_ref().is_some_and(|b| b.0 == 1 && !b.1)
             {
                 continue;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod session;
 pub mod users;
 pub mod view;
+mod zones;
 
 pub use config::{Config, Tuning};
 pub use node::Node;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -140,8 +140,8 @@
     /// Whether all controllers are known to read this, and to go on doing so.
     pub(super) fn all_read(&self, dialect: Dialect) -> bool {
         let book = self.store.book();
-        let format = book.format.as_ref();
-        format.is_some_and(|kept| kept.value.dialect >= dialect.0)
+        let recorded = book.format.as_ref().map(|kept| Dialect(kept.value.dialect));
+        recorded.unwrap_or_default() >= dialect
     }
 
     /// Learns from peers that know of newer revisions than we do which jobs are
--- a/src/coordination/policy/mod.rs
+++ b/src/coordination/policy/mod.rs
@@ -7,3 +7,4 @@
 pub mod placement;
 pub mod remedial;
 pub mod suitability;
+pub mod zones;
--- a/src/coordination/policy/placement.rs
+++ b/src/coordination/policy/placement.rs
@@ -253,6 +253,7 @@
             save: Duration::ZERO,
             deadline: None,
             accepted_ms: 0,
+            home: None,
         }
     }
 
--- a/src/coordination/ports.rs
+++ b/src/coordination/ports.rs
@@ -205,8 +205,10 @@
     pub const CANCELLATIONS: Dialect = Dialect(1);
     /// Runs gangs by their common attempt, and keeps within the limits to come.
     pub const GANGS: Dialect = Dialect(2);
+    /// Places zone-bound jobs of any number of records, some by the zone in their spec.
+    pub const LARGE_ZONE_BOUND: Dialect = Dialect(3);
     /// What this version reads.
-    pub const OURS: Dialect = Self::GANGS;
+    pub const OURS: Dialect = Self::LARGE_ZONE_BOUND;
 }
 
 /// What controllers tell each other every second.
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{node::Node, ports::Dialect};
+use super::{node::Node, policy::zones::ZoneScope, ports::Dialect};
 use crate::storage::{book::Job, budget::Urgency, keys, records::*, *};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +42,6 @@
     Type,
     #[error("more than the team's limit")]
     Limit,
-    #[error("too many tasks for a job that is bound to zones")]
-    Bound,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -80,7 +78,7 @@
         }
         // Only one that all controllers can serve is promised; in a rolled upgrade the
         // user is told to come again.
-        if spec.kind == JobKind::Gang && !self.all_read(Dialect::GANGS) {
+        if !self.all_read(self.needed_dialect(&spec)) {
             return Err(UserError::Unavailable);
         }
         spec.accepted_ms = self.config.now_ms();
@@ -109,6 +107,15 @@
         }
     }
 
+    /// What all controllers must be able to read to serve this job.
+    fn needed_dialect(&self, spec: &JobSpec) -> Dialect {
+        match ZoneScope::of(spec, self.config.state.txn_ops) {
+            ZoneScope::PerRecord => Dialect::LARGE_ZONE_BOUND,
+            ZoneScope::WholeJob if spec.kind == JobKind::Gang => Dialect::GANGS,
+            ZoneScope::WholeJob => Dialect::default(),
+        }
+    }
+
     /// Whether the job can ever run; an error when that cannot be told yet.
     fn judge(&self, spec: &JobSpec) -> Result<Result<(), Impossible>, UserError> {
         if !self.store.is_loaded() {
@@ -137,11 +144,6 @@
         if !team.limit.covers(&needed) {
             return Ok(Err(Impossible::Limit));
         }
-        // Placing such a task is conditional on all of its job's records.
-        let records = spec.tasks.div_ceil(keys::CHUNK) as usize;
-        if (spec.one_zone || spec.spread) && records > 3 * self.config.state.txn_ops {
-            return Ok(Err(Impossible::Bound));
-        }
         Ok(Ok(()))
     }
 
--- /dev/null
+++ b/src/coordination/zones.rs
@@ -0,0 +1,130 @@
+//! Where a job's tasks are, as the replica of the state service tells.
+
+use super::policy::zones::{ZoneConstraint, ZoneScope};
+use crate::storage::{
+    Book, JobSpec, ZoneName, book, keys,
+    records::{Placement, RunRecord},
+};
+
+/// The constraint for the next task of a job.
+pub(super) fn of_job(book: &Book, job: &book::Job) -> ZoneConstraint {
+    let Some(spec) = job.spec().filter(|spec| spec.is_zone_bound()) else {
+        return ZoneConstraint::default();
+    };
+    let mut constraint = ZoneConstraint::of_job(spec);
+    confine_to_home(&mut constraint, spec);
+    for kept in job.chunks.values() {
+        count_record(book, &kept.value, &mut constraint);
+    }
+    constraint
+}
+
+/// The constraints for the next task of each record of a job, by
+/// [`ZoneScope::PerRecord`].
+pub(super) struct RecordConstraints<'a> {
+    book: &'a Book,
+    job: &'a book::Job,
+    spec: Option<&'a JobSpec>,
+    /// Zones of which a record holds more than its share: it was written by the rule
+    /// for the whole job, before the limits fell. The others must make up for it.
+    exceeded: Vec<(u32, ZoneName)>,
+}
+
+impl<'a> RecordConstraints<'a> {
+    /// Looks at all records of the job once.
+    pub(super) fn new(book: &'a Book, job: &'a book::Job) -> Self {
+        let spec = job.spec().map(|spec| &**spec);
+        let mut constraints = Self {
+            book,
+            job,
+            spec: spec.filter(|spec| spec.is_zone_bound()),
+            exceeded: Vec::new(),
+        };
+        constraints.exceeded = constraints.find_exceeded();
+        constraints
+    }
+
+    fn find_exceeded(&self) -> Vec<(u32, ZoneName)> {
+        let Some(spec) = self.spec.filter(|spec| spec.spread) else {
+            return Vec::new();
+        };
+        let mut exceeded = Vec::new();
+        for (record, kept) in &self.job.chunks {
+            if kept.value.placed.len() > keys::CHUNK as usize / 2 {
+                let constraint = self.counted(spec, *record);
+                let zones = constraint.exceeded().cloned();
+                exceeded.extend(zones.map(|zone| (*record, zone)));
+            }
+        }
+        exceeded
+    }
+
+    fn counted(&self, spec: &JobSpec, record: u32) -> ZoneConstraint {
+        let mut constraint = ZoneConstraint::of_record(spec, record);
+        if let Some(kept) = self.job.chunks.get(&record) {
+            count_record(self.book, &kept.value, &mut constraint);
+        }
+        constraint
+    }
+
+    /// The constraint for the next task of this record.
+    pub(super) fn of(&self, record: u32) -> ZoneConstraint {
+        let Some(spec) = self.spec else {
+            return ZoneConstraint::default();
+        };
+        let mut constraint = self.counted(spec, record);
+        confine_to_home(&mut constraint, spec);
+        for (other, zone) in &self.exceeded {
+            if *other != record {
+                constraint.close(zone.clone());
+            }
+        }
+        constraint
+    }
+}
+
+fn confine_to_home(constraint: &mut ZoneConstraint, spec: &JobSpec) {
+    if let Some(home) = &spec.home {
+        constraint.confine(home.clone());
+    }
+}
+
+fn count_record(book: &Book, record: &RunRecord, constraint: &mut ZoneConstraint) {
+    for placement in record.placed.values() {
+        if let Some(zone) = zone_of(book, placement) {
+            constraint.add(zone);
+        }
+    }
+}
+
+fn zone_of<'a>(book: &'a Book, placement: &Placement) -> Option<&'a ZoneName> {
+    let machine = book.machines.get(&placement.machine)?;
+    Some(&machine.zone)
+}
+
+/// Tasks in parts that share a zone constraint.
+pub(super) type ConstrainedPart<'a> = (&'a [u32], ZoneConstraint);
+
+/// The tasks of a job in parts that share a zone constraint.
+pub(super) fn constrained_parts<'a>(
+    book: &Book,
+    job: &book::Job,
+    scope: ZoneScope,
+    tasks: &'a [u32],
+) -> Vec<ConstrainedPart<'a>> {
+    if scope == ZoneScope::WholeJob {
+        return vec![(tasks, of_job(book, job))];
+    }
+    let constraints = RecordConstraints::new(book, job);
+    let record_of = |task: u32| task / keys::CHUNK;
+    tasks
+        .chunk_by(|a, b| record_of(*a) == record_of(*b))
+        .map(|part| (part, constraints.of(record_of(part[0]))))
+        .collect()
+}
+
+/// Whether a job's placements wait for the leader to choose the zone that it is
+/// confined to.
+pub(super) fn needs_home(spec: &JobSpec, scope: ZoneScope) -> bool {
+    spec.one_zone && spec.home.is_none() && scope == ZoneScope::PerRecord
+}
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -132,6 +132,7 @@
         save: span("saddle_s", job.saddle_s)?,
         deadline: job.post_s.map(|s| span("post_s", s)).transpose()?,
         accepted_ms: 0,
+        home: None,
     };
     Ok((id, spec))
 }
--- a/src/storage/book.rs
+++ b/src/storage/book.rs
@@ -937,6 +937,7 @@
                 save: Default::default(),
                 deadline: None,
                 accepted_ms: 0,
+                home: None,
             }),
         });
         assert_eq!(job.waiting(), 3);
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ids::*;
+use super::{ids::*, keys};
 
 /// Amounts are decimal numbers on the wire; sums of them are compared with this slack.
 pub const AMOUNT_SLACK: f64 = 1e-6;
@@ -171,6 +171,10 @@
     pub deadline: Option<Duration>,
     /// Milliseconds of the time of day at the controller that accepted it.
     pub accepted_ms: u64,
+    /// The zone that the leader has confined a job in one zone to, when it has too many
+    /// records for a placement to depend on all of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub home: Option<ZoneName>,
 }
 
 impl JobSpec {
@@ -179,12 +183,13 @@
     }
 
     pub fn allows_zone(&self, name: &ZoneName) -> bool {
-        self.zone.as_ref().is_none_or(|zone| zone == name)
+        let wanted = [&self.zone, &self.home];
+        wanted.into_iter().flatten().all(|zone| zone == name)
     }
 
-    pub fn age(&self, now: SystemTime) -> Duration {
-        now.duration_since(UNIX_EPOCH + Duration::from_millis(self.accepted_ms))
-            .unwrap_or_default()
+    /// Whether where a task may be depends on where the job's other tasks are.
+    pub fn is_zone_bound(&self) -> bool {
+        self.one_zone || self.spread
     }
 
     /// At most half of the tasks, rounded up, may be in one zone when `spread` is set.
@@ -195,6 +200,16 @@
             self.tasks
         }
     }
+
+    /// Run records that its tasks take.
+    pub fn records(&self) -> u32 {
+        self.tasks.div_ceil(keys::CHUNK)
+    }
+
+    pub fn age(&self, now: SystemTime) -> Duration {
+        now.duration_since(UNIX_EPOCH + Duration::from_millis(self.accepted_ms))
+            .unwrap_or_default()
+    }
 }
 
 /// How a job ended. Written once and never changed.
--- a/tests/checkers.rs
+++ b/tests/checkers.rs
@@ -33,6 +33,7 @@
         save: Duration::ZERO,
         deadline: None,
         accepted_ms: 0,
+        home: None,
     })
 }
 
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -71,6 +71,7 @@
             .contains_key("deadline")
             .then(|| seconds(words, "deadline", 0.0)),
         accepted_ms: 0,
+        home: None,
     }
 }
 
