--- a/src/main.rs
+++ b/src/main.rs
@@ -72,11 +72,14 @@
             return ExitCode::from(2);
         }
     };
+    let warnings = settings.warnings();
     if arguments.check {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
+        return report_check(&warnings);
     }
     start_logging();
+    for warning in &warnings {
+        tracing::warn!(warning, "settings that cannot be kept to");
+    }
     // A panic anywhere means that a duty is broken: better to end, and be
     // started again, than to go on half alive.
     std::panic::set_hook(Box::new(|info| {
@@ -100,6 +103,17 @@
     }
 }
 
+fn report_check(warnings: &[String]) -> ExitCode {
+    for warning in warnings {
+        eprintln!("stallcove: {warning}");
+    }
+    if !warnings.is_empty() {
+        return ExitCode::from(2);
+    }
+    println!("settings are valid");
+    ExitCode::SUCCESS
+}
+
 async fn run(settings: Settings, tuning: Tuning) -> Result<(), String> {
     let incarnation = Incarnation(rand::random::<u64>() >> 1);
     let config = settings.config(incarnation, tuning);
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::Deserialize;
+use serde_json::Value;
 
 use super::seconds;
 use crate::{
@@ -91,23 +92,80 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: u32,
-    /// Limits that it will have from some moment on, without notice.
+    /// Limits that it will have from some moment on, without notice. Read field by
+    /// field: no mistake in them keeps a process from starting.
     #[serde(default)]
-    pub next: Option<NextLimits>,
+    pub next: Value,
 }
 
-#[derive(Debug, Default, Deserialize)]
+/// The announced limits that can be used; what is not announced stays as it is.
+#[derive(Debug, Default, PartialEq)]
 pub struct NextLimits {
-    #[serde(default)]
     pub rps: Option<f64>,
-    #[serde(default)]
     pub write_rps: Option<f64>,
-    #[serde(default)]
     pub value_kb: Option<f64>,
-    #[serde(default)]
     pub txn_ops: Option<u32>,
 }
 
+/// What [`StateSettings::next`] says, and what of it cannot be used.
+struct Announced {
+    limits: NextLimits,
+    problems: Vec<String>,
+}
+
+impl Announced {
+    fn read(next: &Value) -> Self {
+        let mut announced = Self {
+            limits: NextLimits::default(),
+            problems: Vec::new(),
+        };
+        if !next.is_null() && !next.is_object() {
+            announced.problem("must be an object");
+        }
+        announced.limits = NextLimits {
+            rps: announced.rate(next, "rps"),
+            write_rps: announced.rate(next, "write_rps"),
+            value_kb: announced.at_least(next, "value_kb", LEAST_VALUE_KB),
+            txn_ops: announced
+                .at_least(next, "txn_ops", f64::from(LEAST_TXN_OPS))
+                .map(|ops| ops as u32),
+        };
+        announced
+    }
+
+    fn problem(&mut self, what: impl std::fmt::Display) {
+        self.problems.push(format!("settings.state.next {what}"));
+    }
+
+    /// A field's number; none if it is absent or no number.
+    fn number(&mut self, next: &Value, field: &str) -> Option<f64> {
+        let value = next.get(field).filter(|value| !value.is_null())?;
+        let number = value.as_f64();
+        if number.is_none() {
+            self.problem(format_args!("{field} must be a number"));
+        }
+        number
+    }
+
+    fn rate(&mut self, next: &Value, field: &str) -> Option<f64> {
+        let rate = self.number(next, field)?;
+        if rate > 0.0 {
+            return Some(rate);
+        }
+        self.problem(format_args!("{field} must be a positive number"));
+        None
+    }
+
+    /// A size that is too small to serve counts as the smallest that is not.
+    fn at_least(&mut self, next: &Value, field: &str, least: f64) -> Option<f64> {
+        let size = self.number(next, field)?;
+        if size < least {
+            self.problem(format_args!("{field} must be at least {least}"));
+        }
+        Some(size.max(least))
+    }
+}
+
 /// Our largest records (36 tasks, 48 or 50 machines) keep within this.
 const LEAST_VALUE_KB: f64 = 2.0;
 /// A machine that moves between two blocks takes budget along, and the end of a job
@@ -208,35 +266,17 @@
             return Err("settings.workers.cancel_s must exceed lease_s by 6 s or more".into());
         }
         let state = &self.settings.state;
-        let none = NextLimits::default();
-        let next = state.next.as_ref().unwrap_or(&none);
-        for (part, rps, write_rps, value_kb, txn_ops) in [
-            (
-                "state",
-                Some(state.rps),
-                Some(state.write_rps),
-                Some(state.value_kb),
-                Some(state.txn_ops),
-            ),
-            (
-                "state.next",
-                next.rps,
-                next.write_rps,
-                next.value_kb,
-                next.txn_ops,
-            ),
-        ] {
-            let name = |field: &str| format!("settings.{part}.{field}");
-            positive(&name("rps"), rps.unwrap_or(1.0))?;
-            positive(&name("write_rps"), write_rps.unwrap_or(1.0))?;
-            if value_kb.is_some_and(|kb| !kb.is_finite() || kb < LEAST_VALUE_KB) {
-                let name = name("value_kb");
-                return Err(format!("{name} must be at least {LEAST_VALUE_KB}"));
-            }
-            if txn_ops.is_some_and(|ops| ops < LEAST_TXN_OPS) {
-                let name = name("txn_ops");
-                return Err(format!("{name} must be at least {LEAST_TXN_OPS}"));
-            }
+        positive("settings.state.rps", state.rps)?;
+        positive("settings.state.write_rps", state.write_rps)?;
+        if !state.value_kb.is_finite() || state.value_kb < LEAST_VALUE_KB {
+            return Err(format!(
+                "settings.state.value_kb must be at least {LEAST_VALUE_KB}"
+            ));
+        }
+        if state.txn_ops < LEAST_TXN_OPS {
+            return Err(format!(
+                "settings.state.txn_ops must be at least {LEAST_TXN_OPS}"
+            ));
         }
         positive("settings.cloud.rps", self.settings.cloud.rps)?;
         span("settings.cloud.list_lag_s", self.settings.cloud.list_lag_s)?;
@@ -246,13 +286,18 @@
         Ok(())
     }
 
+    /// What is wrong with these settings although a process can start with them: limits
+    /// announced for later that are no limits, or too small to serve.
+    pub fn warnings(&self) -> Vec<String> {
+        Announced::read(&self.settings.state.next).problems
+    }
+
     /// In domain terms. Call it on checked settings.
     pub fn config(&self, incarnation: Incarnation, tuning: Tuning) -> Config {
         let span = |value| seconds(value).unwrap_or_default();
         let inner = &self.settings;
         let now = &inner.state;
-        let none = NextLimits::default();
-        let next = now.next.as_ref().unwrap_or(&none);
+        let next = Announced::read(&now.next).limits;
         Config {
             node: NodeName::new(self.node_name.as_str()),
             zone: ZoneName::new(self.area.as_str()),
