--- a/src/coordination/holder/mod.rs
+++ b/src/coordination/holder/mod.rs
@@ -284,6 +284,7 @@
         if state.aligned == blocks {
             return;
         }
+        self.startup.note_holding();
         let now = Instant::now();
         views.retain(|id, view| {
             self.own_block_of(book, id).is_some()
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod ports;
 pub mod reports;
 pub mod session;
+mod startup;
 pub mod users;
 pub mod view;
 mod zones;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -15,6 +15,7 @@
 
 use super::{
     config::Config, holder::HolderState, leader::LeaderState, learning::Learning, ports::*,
+    startup::Startup,
 };
 use crate::storage::{book::Kept, records::*, *};
 
@@ -50,6 +51,7 @@
     /// Places for commands sent directly to workers.
     pub(super) orders_out: Semaphore,
     pub(super) stop: CancellationToken,
+    pub(super) startup: Startup,
 }
 
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -81,6 +83,7 @@
             leader_kick: Notify::new(),
             orders_out: Semaphore::new(ORDERS_OUT),
             stop,
+            startup: Startup::new(),
             config,
         })
     }
@@ -205,6 +208,14 @@
     /// service leaves the rotation; when all have, they stay, since readmission
     /// is slow and nobody else could serve either.
     pub fn is_ready(&self) -> bool {
+        let serves = self.serves_users();
+        if serves {
+            self.startup.note_ready();
+        }
+        serves
+    }
+
+    fn serves_users(&self) -> bool {
         if self.store.is_loaded() && self.store.is_reachable() {
             return true;
         }
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -1,5 +1,5 @@
-//! What the version before gangs wrote, which serves beside this one while an upgrade
-//! rolls, is read, and written the same: `tests/data/before-gangs.txt` was made by it.
+//! What earlier versions wrote, which serve beside this one while an upgrade rolls, is
+//! read, and written the same. Each file under `tests/data` was made by its version.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -10,10 +10,28 @@
     storage::{records::*, *},
 };
 
-const DATA: &str = include_str!("data/before-gangs.txt");
+/// An earlier version: what it wrote, and the dialect that it names.
+struct Version {
+    data: &'static str,
+    dialect: Dialect,
+    /// The last attempt of the gang's task that is placed.
+    attempt: Attempt,
+}
+
+const BEFORE_GANGS: Version = Version {
+    data: include_str!("data/before-gangs.txt"),
+    dialect: Dialect::CANCELLATIONS,
+    attempt: Attempt(1),
+};
+
+const GANGS: Version = Version {
+    data: include_str!("data/gangs.txt"),
+    dialect: Dialect::GANGS,
+    attempt: Attempt(4),
+};
 
-fn frames() -> BTreeMap<String, Vec<u8>> {
-    let lines = DATA.lines().filter_map(|line| line.strip_prefix("FRAME "));
+fn frames(data: &str) -> BTreeMap<String, Vec<u8>> {
+    let lines = data.lines().filter_map(|line| line.strip_prefix("FRAME "));
     lines
         .map(|line| {
             let (name, hex) = line.rsplit_once(' ').expect("name and bytes");
@@ -26,11 +44,11 @@
         .collect()
 }
 
-fn status() -> Status {
+fn status(dialect: Dialect) -> Status {
     Status {
         node: NodeName::new("n-1"),
         incarnation: Incarnation(7),
-        dialect: Dialect::CANCELLATIONS,
+        dialect,
         seen: Revision(412),
         state_reachable: true,
         full: true,
@@ -66,7 +84,13 @@
 }
 
 #[test]
-fn frames_are_those_of_the_version_before() {
+fn frames_are_those_of_earlier_versions() {
+    for version in [BEFORE_GANGS, GANGS] {
+        check_frames(&version);
+    }
+}
+
+fn check_frames(version: &Version) {
     let job = || JobId::new("job-000412");
     let offer = Offer {
         job: job(),
@@ -77,7 +101,7 @@
         jobs: Some(vec![job()]),
     };
     let calls = [
-        ("call status", PeerCall::Status(status())),
+        ("call status", PeerCall::Status(status(version.dialect))),
         ("call offers", PeerCall::Offers(vec![offer])),
         (
             "call preempt",
@@ -90,7 +114,7 @@
         ),
     ];
     let answers = [
-        ("answer status", PeerAnswer::Status(status())),
+        ("answer status", PeerAnswer::Status(status(version.dialect))),
         ("answer taken", PeerAnswer::Taken),
         ("answer probed", PeerAnswer::Probed(true)),
         (
@@ -99,7 +123,7 @@
         ),
         ("answer unknown", PeerAnswer::Unknown),
     ];
-    let frames = frames();
+    let frames = frames(version.data);
     assert_eq!(frames.len(), calls.len() + answers.len());
     for (name, call) in calls {
         assert_eq!(peers::read_call(&frames[name]).expect(name), call);
@@ -119,33 +143,65 @@
 }
 
 #[test]
-fn records_are_those_of_the_version_before() {
+fn records_are_those_of_earlier_versions() {
+    for version in [BEFORE_GANGS, GANGS] {
+        check_records(&version);
+    }
+}
+
+fn check_records(version: &Version) {
     let mut book = Book::default();
     let mut records = 0;
-    for line in DATA.lines().filter_map(|line| line.strip_prefix("RECORD ")) {
+    let lines = version.data.lines();
+    for line in lines.filter_map(|line| line.strip_prefix("RECORD ")) {
         let (key, text) = line.split_once(' ').expect("key and value");
         let value: Value = serde_json::from_str(text).expect("JSON");
         records += 1;
-        match key.split('/').next().expect("a kind") {
-            "spec" => same::<JobSpec>(key, &value),
-            "run" => same::<RunRecord>(key, &value),
-            "fate" => same::<FateRecord>(key, &value),
-            "drain" => same::<u32>(key, &value),
-            "seat" => same::<SeatRecord>(key, &value),
-            "block" => same::<BlockRecord>(key, &value),
-            "machine" => same::<RentalRecord>(key, &value),
-            "rent" => same::<RentRecord>(key, &value),
-            "node" => same::<NodeRecord>(key, &value),
-            "leader" => same::<LeaderRecord>(key, &value),
-            "catalog" => same::<CatalogRecord>(key, &value),
-            other => panic!("{other}"),
-        }
+        check_record(key, &value);
         book.set(key, value, Revision(records));
     }
-    assert_eq!(records, 11);
+    let names_format = version.dialect >= Dialect::GANGS;
+    assert_eq!(records, 11 + u64::from(names_format));
     let job = &book.jobs[&JobId::new("job-000412")];
     assert_eq!((job.placed, job.done, job.waiting()), (1, 2, 13));
-    assert!(book.catalog.is_some() && book.leader.is_some() && book.format.is_none());
+    let placement = job.placement(3).expect("a placement");
+    assert_eq!(placement.attempt, version.attempt);
+    assert!(book.catalog.is_some() && book.leader.is_some());
+    assert_eq!(book.format.is_some(), names_format);
     assert_eq!((book.blocks.len(), book.rentals.len()), (1, 1));
     assert!(book.fate(&JobId::new("job-000411")).is_some());
 }
+
+fn check_record(key: &str, value: &Value) {
+    match key.split('/').next().expect("a kind") {
+        "spec" => same::<JobSpec>(key, value),
+        "run" => same::<RunRecord>(key, value),
+        "fate" => same::<FateRecord>(key, value),
+        "drain" => same::<u32>(key, value),
+        "seat" => same::<SeatRecord>(key, value),
+        "block" => same::<BlockRecord>(key, value),
+        "machine" => same::<RentalRecord>(key, value),
+        "rent" => same::<RentRecord>(key, value),
+        "node" => same::<NodeRecord>(key, value),
+        "leader" => same::<LeaderRecord>(key, value),
+        "catalog" => same::<CatalogRecord>(key, value),
+        "format" => same::<FormatRecord>(key, value),
+        other => panic!("{other}"),
+    }
+}
+
+/// The zone that a job of many records is confined to stands in its spec, and is the
+/// one thing that earlier versions pass over. Those of other jobs have no such field.
+#[test]
+fn only_confined_jobs_have_a_new_field() {
+    let line = GANGS.data.lines().find(|line| line.contains("spec/"));
+    let text = line.expect("a spec").rsplit_once(" {").expect("JSON").1;
+    let mut spec: JobSpec = serde_json::from_str(&format!("{{{text}")).expect("a spec");
+    assert_eq!(spec.home, None);
+    let plain = serde_json::to_value(&spec).expect("JSON");
+    spec.home = Some(ZoneName::new("a"));
+    let mut confined = serde_json::to_value(&spec).expect("JSON");
+    let fields = confined.as_object_mut().expect("an object");
+    assert_eq!(fields.remove("home"), Some(Value::from("a")));
+    assert_eq!(confined, plain);
+}
