--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -5,7 +5,7 @@
     time::{Duration, SystemTime},
 };
 
-use super::policy::giveback::PaidPeriods;
+use super::{policy::giveback::PaidPeriods, ports::Dialect};
 use crate::storage::*;
 
 /// A class's aim, as far as decisions use it.
@@ -78,6 +78,8 @@
     pub list_lag: Duration,
     pub max_connections: usize,
     pub tuning: Tuning,
+    /// What this process reads, as it tells its peers.
+    pub dialect: Dialect,
     /// The time of day; tests put their own.
     pub wall: Arc<dyn Fn() -> SystemTime + Send + Sync>,
 }
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -24,7 +24,7 @@
         let mut status = Status {
             node: self.config.node.clone(),
             incarnation: self.config.incarnation,
-            dialect: Dialect::OURS,
+            dialect: self.config.dialect,
             seen: self.store.seen(),
             state_reachable: self.store.is_loaded() && self.store.is_reachable(),
             full,
@@ -134,7 +134,7 @@
             let registered = book.nodes.get(name).map(|kept| Dialect(kept.value.dialect));
             registered.or_else(|| links.dialects.get(name).copied())
         });
-        said.chain([Some(Dialect::OURS)]).min().flatten()
+        said.chain([Some(self.config.dialect)]).min().flatten()
     }
 
     /// Whether all controllers are known to read this, and to go on doing so.
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -72,7 +72,7 @@
         let record = NodeRecord {
             incarnation: self.config.incarnation,
             zone: self.config.zone.clone(),
-            dialect: Dialect::OURS.0,
+            dialect: self.config.dialect.0,
         };
         // Whatever the key says of an earlier process, that one is dead. On the
         // condition of the revision that it has now: a registration of that
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -7,7 +7,7 @@
 
 use super::seconds;
 use crate::{
-    coordination::{Config, Tuning, config::Objective},
+    coordination::{Config, Tuning, config::Objective, ports::Dialect},
     storage::*,
 };
 
@@ -355,6 +355,7 @@
             list_lag: span(inner.cloud.list_lag_s),
             max_connections: inner.limits.max_connections as usize,
             tuning,
+            dialect: Dialect::OURS,
             wall: Arc::new(std::time::SystemTime::now),
         }
     }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -5,6 +5,7 @@
 pub mod script;
 pub mod state;
 pub mod users;
+pub mod versions;
 pub mod worker;
 pub mod world;
 
--- /dev/null
+++ b/tests/sim/versions.rs
@@ -0,0 +1,35 @@
+//! Versions of the program that serve side by side while an upgrade rolls.
+
+use stallcove::coordination::ports::Dialect;
+
+/// What a controller of the simulated world plays. An earlier version is played by this
+/// one, which tells the dialect of the earlier one and keeps to what that one knew.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Version {
+    /// Says nothing of what it reads, drops links on frames that it can't read, and
+    /// knows nothing of formats and limits to come.
+    BeforeGangs,
+    /// Runs gangs, and keeps to limits to come.
+    Gangs,
+    #[default]
+    Current,
+}
+
+impl Version {
+    /// The version that a scenario names.
+    pub fn named(name: Option<&str>) -> Self {
+        match name {
+            None => Version::BeforeGangs,
+            Some("gangs") => Version::Gangs,
+            Some(other) => panic!("unknown version {other}"),
+        }
+    }
+
+    pub fn dialect(self) -> Dialect {
+        match self {
+            Version::BeforeGangs => Dialect::default(),
+            Version::Gangs => Dialect::GANGS,
+            Version::Current => Dialect::OURS,
+        }
+    }
+}
