--- a/src/coordination/leader/stats.rs
+++ b/src/coordination/leader/stats.rs
@@ -179,24 +179,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test(start_paused = true)]
-    async fn overdue_tasks_count_as_missed() {
-        let pool = (TypeName::new("t"), false);
-        let stats = Stats {
-            judged: VecDeque::from([Judged {
-                at: Instant::now(),
-                pool: Some(pool.clone()),
-                count: 9,
-                missed: false,
-            }]),
-            ..Stats::default()
-        };
-        assert_eq!(stats.misses(&[]).rate, 0.0);
-        let misses = stats.misses(&[(Some(pool.clone()), 1)]);
-        assert!((misses.rate - 0.1).abs() < 1e-9);
-        assert_eq!(misses.shares[&pool], 1.0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/coordination/policy/placement/tests.rs
@@ -0,0 +1,168 @@
+//! Tests of `coordination::policy::placement`.
+
+use super::*;
+
+pub fn spec(cpus: f64, spot: bool) -> JobSpec {
+    JobSpec {
+        class: ClassName::new("class"),
+        team: TeamName::new("team"),
+        kind: JobKind::Array,
+        priority: Priority::Normal,
+        tasks: 4,
+        per_task: Resources {
+            cpus,
+            gpus: 0.0,
+            memory: 1.0,
+        },
+        image: ImageName::new("img"),
+        image_gb: 2.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot,
+        estimate: Duration::from_secs(10),
+        checkpoint: Duration::ZERO,
+        save: Duration::ZERO,
+        deadline: None,
+        accepted_ms: 0,
+        home: None,
+    }
+}
+
+pub fn slot(name: &str, cpus: f64, spot: bool) -> Slot {
+    let size = Resources {
+        cpus,
+        gpus: 0.0,
+        memory: 64.0,
+    };
+    Slot {
+        group: 0,
+        machine: MachineId::new(name),
+        kind: TypeName::new("type"),
+        zone: ZoneName::new("zone"),
+        spot,
+        room: size,
+        size,
+        fetch_gb_per_s: 0.5,
+        speed: 1.0,
+        images: Arc::default(),
+        leaves_in: None,
+    }
+}
+
+#[test]
+fn a_cached_image_beats_a_tight_fit() {
+    let mut warm = slot("warm", 32.0, false);
+    warm.images = Arc::new(vec![ImageName::new("img")]);
+    let slots = [slot("cold", 4.0, false), warm];
+    // 2 GB at 0.5 GB/s are four seconds.
+    assert_eq!(
+        estimate(&spec(4.0, false), &slots[0], 1.0).fetch,
+        Duration::from_secs(4)
+    );
+    assert_eq!(choose(&spec(4.0, false), &slots, 1.0, |_| true), Some(1));
+}
+
+#[test]
+fn of_equals_spot_then_the_tightest() {
+    let slots = [
+        slot("big", 32.0, false),
+        slot("small", 8.0, false),
+        slot("spot", 16.0, true),
+    ];
+    assert_eq!(choose(&spec(4.0, true), &slots, 1.0, |_| true), Some(2));
+    assert_eq!(choose(&spec(4.0, false), &slots, 1.0, |_| true), Some(1));
+    assert_eq!(choose(&spec(40.0, false), &slots, 1.0, |_| true), None);
+}
+
+#[test]
+fn a_marked_machine_takes_only_what_ends_in_time() {
+    let mut marked = slot("marked", 8.0, false);
+    marked.leaves_in = Some(Duration::from_secs(13));
+    // Fetch 4 s and run 10 s.
+    assert_eq!(
+        choose(&spec(4.0, false), &[marked.clone()], 1.0, |_| true),
+        None
+    );
+    marked.leaves_in = Some(Duration::from_secs(14));
+    assert_eq!(choose(&spec(4.0, false), &[marked], 1.0, |_| true), Some(0));
+}
+
+/// Random machines with random room, images and zones.
+fn fleet(dice: &mut rand::rngs::StdRng, count: usize) -> Vec<Slot> {
+    use rand::Rng;
+    (0..count)
+        .map(|n| {
+            let cpus = [4.0, 16.0, 64.0][dice.random_range(0..3)];
+            let mut slot = slot(&format!("vm-{n}"), cpus, dice.random_bool(0.4));
+            slot.group = dice.random_range(0..3);
+            slot.zone = ZoneName::new(["a", "b"][slot.group % 2]);
+            slot.room.cpus = f64::from(dice.random_range(0..=cpus as u32));
+            slot.speed = dice.random_range(0.8..1.2);
+            if dice.random_bool(0.3) {
+                slot.images = Arc::new(vec![ImageName::new("img")]);
+            }
+            if dice.random_bool(0.1) {
+                slot.leaves_in = Some(Duration::from_secs(dice.random_range(5..30)));
+            }
+            slot
+        })
+        .collect()
+}
+
+/// Many tasks at once are placed as one after the other by the plain scan.
+#[test]
+fn filling_places_as_choosing_one_by_one() {
+    use rand::{Rng, SeedableRng};
+    let mut dice = rand::rngs::StdRng::seed_from_u64(11);
+    for round in 0..200 {
+        let mut slots = fleet(&mut dice, 60);
+        let mut plain = slots.clone();
+        let spec = spec(f64::from(dice.random_range(1..6)), dice.random_bool(0.5));
+        let count = dice.random_range(1..80);
+        let most_in_a = dice.random_range(0..60);
+        let mut in_a = 0;
+        let filled = fill(&spec, &mut slots, 1.1, count, |slot| {
+            if slot.zone.as_str() == "a" {
+                in_a += 1;
+                return in_a <= most_in_a;
+            }
+            true
+        });
+        let mut in_a = 0;
+        let mut one_by_one = Vec::new();
+        while one_by_one.len() < count {
+            let at = choose(&spec, &plain, 1.1, |slot| {
+                slot.zone.as_str() != "a" || in_a < most_in_a
+            });
+            let Some(at) = at else { break };
+            in_a += usize::from(plain[at].zone.as_str() == "a");
+            plain[at].put(&spec);
+            one_by_one.push(at);
+        }
+        assert_eq!(filled, one_by_one, "round {round}");
+    }
+}
+
+#[test]
+fn a_group_that_takes_all_beats_one_where_it_is_quicker() {
+    let mut warm = slot("warm", 8.0, false);
+    warm.images = Arc::new(vec![ImageName::new("img")]);
+    let mut cold = slot("cold", 16.0, false);
+    cold.group = 1;
+    let slots = [warm, cold];
+    let best = |count| {
+        let fits = compare_groups(&spec(4.0, false), &slots, 1.0, count);
+        best_group(&fits, &[])
+    };
+    assert_eq!(best(2), Some(0), "both take two, one has the image");
+    assert_eq!(best(4), Some(1), "only one takes four");
+    let fits = compare_groups(&spec(4.0, false), &slots, 1.0, 4);
+    assert_eq!(
+        best_group(&fits, &[0]),
+        Some(0),
+        "it writes the record already"
+    );
+    assert_eq!(best_group(&BTreeMap::new(), &[]), None);
+}
--- a/src/coordination/policy/remedial.rs
+++ b/src/coordination/policy/remedial.rs
@@ -11,20 +11,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn one_machine_a_job_at_the_papers_values() {
-        assert_eq!(rent(0, 10.0, 0.1, 0), 0);
-        assert_eq!(rent(3, 10.0, 0.1, 0), 3);
-        assert_eq!(rent(3, 10.0, 0.1, 2), 1);
-        assert_eq!(rent(3, 10.0, 0.1, 5), 0);
-    }
-
-    #[test]
-    fn theta_softens_it_and_rounds_up() {
-        // 5 / (20·0.1) = 2.5
-        assert_eq!(rent(5, 20.0, 0.1, 0), 3);
-    }
-}
+mod tests;
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -127,30 +127,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_report_is_read() {
-        let hello: Hello = serde_json::from_str(
-            r#"{"mount":"vm-000231","addr":"10.1.0.232:9000","breed":"g8","paddock":"a",
-            "loaners":true,"tenure":1,"tally":88,"bridle":41,"recall_s":null,
-            "strides":[{"stride":"job-000412/3","heat":2,"stance":"running"},
-                {"stride":"job-000398/0","heat":1,"stance":"exited","cause":"done"}]}"#,
-        )
-        .expect("valid");
-        let report = hello.into_report().expect("a report");
-        assert_eq!(report.token, Token(41));
-        assert_eq!(report.tasks[1].state, TaskState::Exited(Exit::Done));
-    }
-
-    #[test]
-    fn a_report_with_an_unknown_state_is_not_taken_in_part() {
-        let hello: Hello = serde_json::from_str(
-            r#"{"mount":"vm-1","addr":"a","breed":"b","paddock":"p","tenure":1,"tally":1,
-            "bridle":0,"strides":[{"stride":"job-1/0","heat":1,"stance":"dancing"}]}"#,
-        )
-        .expect("valid");
-        assert!(hello.into_report().is_none());
-    }
-}
+mod tests;
--- a/src/storage/ids.rs
+++ b/src/storage/ids.rs
@@ -169,24 +169,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn job_ids_have_one_form() {
-        assert!(JobId::parse("job-000412").is_some());
-        for bad in [
-            "", "job-", "job-12a", "job-1/2", "jobs-1", "job-1 ", "job--1",
-        ] {
-            assert!(JobId::parse(bad).is_none(), "{bad}");
-        }
-    }
-
-    #[test]
-    fn task_ids_read_back() {
-        let task = TaskId::parse("job-7/13").expect("a task");
-        assert_eq!(task.to_string(), "job-7/13");
-        assert!(TaskId::parse("job-7").is_none());
-        assert!(TaskId::parse("job-7/x").is_none());
-    }
-}
+mod tests;
--- a/src/transport/admission.rs
+++ b/src/transport/admission.rs
@@ -113,34 +113,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    async fn serve(admission: &Admission, rounds: usize, each: Duration) -> usize {
-        let mut refused = 0;
-        for _ in 0..rounds {
-            let mut running = Vec::new();
-            for _ in 0..100 {
-                match admission.enter() {
-                    Some(admitted) => running.push(admitted),
-                    None => refused += 1,
-                }
-            }
-            tokio::time::sleep(each).await;
-        }
-        refused
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn the_limit_follows_measured_times() {
-        let admission = Admission::default();
-        serve(&admission, 3, Duration::from_millis(60)).await;
-        let start = admission.limit();
-        let refused = serve(&admission, 5, Duration::from_millis(1500)).await;
-        assert!(refused > 0);
-        let small = admission.limit();
-        assert!(small < start, "{small}");
-        serve(&admission, 40, Duration::from_millis(60)).await;
-        assert!(admission.limit() > small);
-    }
-}
+mod tests;
