--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -101,7 +101,7 @@
         let time = dice.random_range(2.0..30.0);
         let node = dice.random_range(0..3);
         let mut second = None;
-        let line = match dice.random_range(0..28) {
+        let line = match dice.random_range(0..33) {
             0 => format!("at {at:.2} crash all for={:.2}", time / 3.0),
             1 | 2 => format!("at {at:.2} crash leader for={:.2}", time / 4.0),
             3 => format!("at {at:.2} crash n{node} for={time:.2}"),
@@ -151,6 +151,17 @@
             24 => format!("at {at:.2} crash leader for={:.2}", time / 60.0),
             25 => format!("at {at:.2} state refuses leader for={time:.2}"),
             12 => format!("at {at:.2} crash leader for={:.2}", time / 60.0),
+            26 => format!("at {at:.2} looks for={:.2}", time * 2.0),
+            27 => format!("at {at:.2} orders share=0.4 late=16 for={time:.2}"),
+            28 => {
+                let ends = at + time;
+                second = Some(format!("at {ends:.2} crash leader for={:.2}", time / 40.0));
+                format!("at {at:.2} copies share=0.5 for_next for={time:.2}")
+            }
+            29 => format!(
+                "at {at:.2} stream job-{}000 count=60 every=0.25 cancelled=0.25 team=team cpus=1 run=2",
+                n + 1
+            ),
             _ => {
                 let a = sides[dice.random_range(0..sides.len())];
                 let b = sides[dice.random_range(0..sides.len())];
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -4,6 +4,7 @@
 pub mod rules;
 pub mod script;
 pub mod state;
+pub mod troubles;
 pub mod users;
 pub mod versions;
 pub mod worker;
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -8,6 +8,7 @@
 
 use super::{
     state::Limits,
+    troubles::{Delay, Stream},
     users,
     versions::Version,
     world::{Cut, TypeSpec, World},
@@ -186,7 +187,7 @@
     /// When the last trouble is over: what users were refused until then is
     /// forgiven. Those who submit late are troubles of their own.
     fn calm_at(&self) -> Duration {
-        let quiet = ["submit", "resubmit", "abort", "expect", "cloud"];
+        let quiet = ["submit", "stream", "resubmit", "abort", "expect", "cloud"];
         let ends = self.timed.iter().filter_map(|timed| {
             let parts: Vec<&str> = timed.words.iter().map(String::as_str).collect();
             let words = words(&parts[1..]);
@@ -274,6 +275,30 @@
             let fails = words.contains_key("fails");
             tokio::spawn(users::submit(world.clone(), job, spec, fails));
         }
+        "stream" => {
+            let first = parts[1].strip_prefix("job-").and_then(|n| n.parse().ok());
+            let stream = Stream {
+                count: number(&words, "count", 100.0) as u64,
+                every: seconds(&words, "every", 0.25),
+                cancelled: number(&words, "cancelled", 0.25),
+                spec: job_spec(&words),
+            };
+            tokio::spawn(world.clone().stream(first.expect("a job id"), stream));
+        }
+        "looks" => {
+            world.troubles.set_close_looks(true);
+            let world = world.clone();
+            later(time, move || world.troubles.set_close_looks(false));
+        }
+        "orders" => {
+            let late = seconds(&words, "late", 16.0);
+            let delay = Delay::new(number(&words, "share", 0.3), late);
+            world.troubles.set_late_orders(delay);
+            let world = world.clone();
+            later(time, move || {
+                world.troubles.set_late_orders(Delay::default())
+            });
+        }
         "resubmit" => {
             let job = JobId::parse(parts[1]).expect("a job id");
             let spec = world.spec(&job).expect("a job submitted before");
@@ -405,8 +430,12 @@
         }
         "copies" => {
             world.set_copies(number(&words, "share", 0.3), seconds(&words, "late", 30.0));
+            world.troubles.set_for_next(words.contains_key("for_next"));
             let world = world.clone();
-            later(time, move || world.set_copies(0.0, Duration::ZERO));
+            later(time, move || {
+                world.set_copies(0.0, Duration::ZERO);
+                world.troubles.set_for_next(false);
+            });
         }
         "take" => {
             let count = parts[1].parse().expect("a number of machines");
--- /dev/null
+++ b/tests/sim/troubles.rs
@@ -0,0 +1,169 @@
+//! Troubles in which messages come late, and users who look closely.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use stallcove::storage::{JobId, JobSpec, chance};
+
+use super::{users, world::World};
+
+/// A share of messages that is held up, by at most this long.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Delay {
+    pub share: f64,
+    pub most: Duration,
+}
+
+impl Delay {
+    pub fn new(share: f64, most: Duration) -> Self {
+        Self { share, most }
+    }
+
+    /// How long this message is held up; none: not at all.
+    pub fn draw(&self, least: Duration) -> Option<Duration> {
+        if self.share <= 0.0 || chance::share(0.0, 1.0) >= self.share {
+            return None;
+        }
+        let rest = self.most.saturating_sub(least);
+        Some(least + rest.mul_f64(chance::share(0.0, 1.0)))
+    }
+}
+
+/// A report that is delivered again.
+pub struct ReportCopy {
+    pub tags: Vec<String>,
+    pub body: String,
+}
+
+/// Copies kept until a leader begins.
+const COPIES_KEPT: usize = 400;
+/// Direct commands are held up for at least this long.
+const ORDERS_LATE: Duration = Duration::from_secs(2);
+/// Questions that a close look asks of each controller.
+const LOOKS: usize = 3;
+
+/// The state of these troubles.
+#[derive(Default)]
+pub struct Troubles {
+    late_orders: Mutex<Delay>,
+    /// Copies of reports are kept for the next leader.
+    for_next: Mutex<bool>,
+    kept: Mutex<Vec<ReportCopy>>,
+    leader: Mutex<Option<String>>,
+    close_looks: Mutex<bool>,
+}
+
+impl Troubles {
+    /// A share of the direct commands is unanswered and carried out late.
+    pub fn set_late_orders(&self, delay: Delay) {
+        *self.late_orders.lock().expect("delay") = delay;
+    }
+
+    /// How late this direct command is carried out; none: at once.
+    pub fn order_delay(&self) -> Option<Duration> {
+        let delay = *self.late_orders.lock().expect("delay");
+        delay.draw(ORDERS_LATE)
+    }
+
+    /// Copies of reports are kept until another leader begins.
+    pub fn set_for_next(&self, on: bool) {
+        *self.for_next.lock().expect("flag") = on;
+    }
+
+    /// Keeps a copy for the next leader, if copies are kept now.
+    pub fn keep(&self, copy: ReportCopy) -> Option<ReportCopy> {
+        if !*self.for_next.lock().expect("flag") {
+            return Some(copy);
+        }
+        let mut kept = self.kept.lock().expect("copies");
+        if kept.len() < COPIES_KEPT {
+            kept.push(copy);
+        }
+        None
+    }
+
+    /// The copies that are due as this leader begins.
+    fn due(&self, leader: Option<String>) -> Vec<ReportCopy> {
+        let mut known = self.leader.lock().expect("leader");
+        if leader.is_none() || *known == leader {
+            return Vec::new();
+        }
+        *known = leader;
+        std::mem::take(&mut *self.kept.lock().expect("copies"))
+    }
+
+    /// Users ask at all controllers as soon as they are told something new.
+    pub fn set_close_looks(&self, on: bool) {
+        *self.close_looks.lock().expect("flag") = on;
+    }
+
+    pub fn looks_closely(&self) -> bool {
+        *self.close_looks.lock().expect("flag")
+    }
+}
+
+impl World {
+    /// As a leader begins, every controller gets the copies that were kept.
+    pub fn deliver_kept_copies(self: &Arc<Self>) {
+        for copy in self.troubles.due(self.leader_life()) {
+            for name in self.node_names() {
+                let (world, tags, body) = (self.clone(), copy.tags.clone(), copy.body.clone());
+                tokio::spawn(async move {
+                    world.to_node(&tags, &name, "POST", "/hello", body).await;
+                });
+            }
+        }
+    }
+
+    /// A user who was just told something asks at all controllers, several times within
+    /// milliseconds, and repeats the submission at one of them.
+    pub fn look_closely(self: &Arc<Self>, job: &JobId) {
+        for name in self.node_names() {
+            for _ in 0..LOOKS {
+                let (world, job, name) = (self.clone(), job.clone(), name.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(chance::millis(0, 12)).await;
+                    users::look(&world, &name, &job).await;
+                });
+            }
+        }
+        let (world, job) = (self.clone(), job.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(chance::millis(0, 12)).await;
+            if let Some(spec) = world.spec(&job) {
+                users::submit_at_once(&world, &job, &spec).await;
+            }
+        });
+    }
+
+    /// Jobs one after the other, a share of them called off soon after.
+    pub async fn stream(self: Arc<Self>, first: u64, stream: Stream) {
+        for n in 0..stream.count {
+            let job = JobId::new(format!("job-{}", first + n));
+            tokio::spawn(users::submit(
+                self.clone(),
+                job.clone(),
+                stream.spec.clone(),
+                false,
+            ));
+            if chance::share(0.0, 1.0) < stream.cancelled {
+                let (world, pause) = (self.clone(), chance::millis(0, 9_000));
+                tokio::spawn(async move {
+                    tokio::time::sleep(pause).await;
+                    users::abort(world, job).await;
+                });
+            }
+            tokio::time::sleep(stream.every).await;
+        }
+    }
+}
+
+/// Many jobs that are alike.
+pub struct Stream {
+    pub count: u64,
+    pub every: Duration,
+    pub cancelled: f64,
+    pub spec: JobSpec,
+}
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -62,7 +62,10 @@
     let state = answer["stance"].as_str().map(str::to_owned);
     if let Some(state) = &state {
         let mut told = world.told.lock().expect("told");
-        told.insert(job.clone(), state.clone());
+        let before = told.insert(job.clone(), state.clone());
+        if world.troubles.looks_closely() && is_news(before.as_deref(), state) {
+            world.look_closely(job);
+        }
     }
     world.see(Event::Answer {
         asked,
@@ -73,6 +76,33 @@
     });
 }
 
+/// Whether a user learns that the job was accepted, is over, or was called off.
+fn is_news(before: Option<&str>, now: &str) -> bool {
+    before.is_none() || (before != Some(now) && matches!(now, "done" | "cancelled"))
+}
+
+/// Asks one controller about the job.
+pub async fn look(world: &Arc<World>, name: &str, job: &JobId) {
+    let tags = ["users".to_owned()];
+    let path = format!("/api/jobs/{job}");
+    let asked = world.at();
+    let call = world.to_node(&tags, name, "GET", &path, String::new());
+    if let Ok(Some((code, text))) = tokio::time::timeout(Duration::from_secs(2), call).await {
+        let answer: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+        see(world, asked, job, (code, &answer), false);
+    }
+}
+
+/// Sends the submission once more.
+pub async fn submit_at_once(world: &Arc<World>, job: &JobId, spec: &JobSpec) {
+    let body = write_job(job, spec).to_string();
+    let asked = world.at();
+    let answer = ask(world, "POST", "/api/jobs", body, Duration::from_secs(5)).await;
+    if let Some((code, answer)) = answer {
+        see(world, asked, job, (code, &answer), true);
+    }
+}
+
 /// Submits, until it is accepted or refused for good; then polls to the end. One that
 /// got no answer at all is polled as well, since it may have been accepted, by a later
 /// repeat for example.
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -30,6 +30,7 @@
     gangs::{Gangs, Next},
     rules::{Event, Place, Room, Rules},
     state::{Limits, State},
+    troubles::{ReportCopy, Troubles},
     versions::Version,
     worker::Machine,
 };
@@ -114,6 +115,7 @@
     abort_at_end: Mutex<f64>,
     gangs: Mutex<Gangs>,
     versions: Mutex<BTreeMap<String, Version>>,
+    pub troubles: Troubles,
     next: Limits,
     /// The state service takes up to this much longer for an answer.
     slow: Mutex<Duration>,
@@ -175,6 +177,7 @@
             abort_at_end: Mutex::new(0.0),
             gangs: Mutex::default(),
             versions: Mutex::default(),
+            troubles: Troubles::default(),
             next,
             slow: Mutex::default(),
             tuning: Tuning::default(),
@@ -208,9 +211,16 @@
         if share <= 0.0 || chance::share(0.0, 1.0) >= share {
             return;
         }
+        let copy = ReportCopy {
+            tags: tags.to_vec(),
+            body: body.to_owned(),
+        };
+        let Some(ReportCopy { tags, body }) = self.troubles.keep(copy) else {
+            return;
+        };
         let names = self.node_names();
         let name = names[chance::share(0.0, names.len() as f64) as usize].clone();
-        let (world, tags, body) = (self.clone(), tags.to_vec(), body.to_owned());
+        let world = self.clone();
         let pause = Duration::from_secs(1) + late.mul_f64(chance::share(0.0, 1.0));
         tokio::spawn(async move {
             tokio::time::sleep(pause).await;
@@ -218,7 +228,8 @@
         });
     }
 
-    pub fn tick(&self) {
+    pub fn tick(self: &Arc<Self>) {
+        self.deliver_kept_copies();
         self.rules.lock().expect("rules").tick(self.at());
         let machines = self.machines();
         let rooms: Vec<Room> = machines.iter().filter_map(|m| m.room(self)).collect();
@@ -504,6 +515,14 @@
             .map(|(name, _)| name.clone())
     }
 
+    /// The leading process: its node, and which life of that node.
+    pub fn leader_life(&self) -> Option<String> {
+        let name = self.leader()?;
+        let nodes = self.nodes.lock().expect("nodes");
+        let life = nodes.get(&name)?.running.as_ref()?.life;
+        Some(format!("{name}-{life}"))
+    }
+
     pub fn add_cut(&self, cut: Cut) {
         self.cuts.lock().expect("cuts").push(cut);
     }
@@ -850,6 +869,16 @@
             }
             return futures::future::pending().await;
         }
+        if call.path == "/orders"
+            && let Some(pause) = self.world.troubles.order_delay()
+        {
+            let (world, node) = (self.world.clone(), self.node.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(pause).await;
+                Self::execute(&world, &node, &call).await;
+            });
+            return futures::future::pending().await;
+        }
         let (share, late) = *self.world.late.lock().expect("late");
         if call.path == "/commit" && chance::share(0.0, 1.0) < share {
             let (world, node) = (self.world.clone(), self.node.clone());
