--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -1,6 +1,9 @@
 //! What can be rented, where, and how much of it is needed.
 
-use super::*;
+use super::{
+    super::super::{policy::zones::ZoneConstraint, zones},
+    *,
+};
 
 /// Where and what kind of machine.
 pub(super) type Place = (TypeName, ZoneName, bool);
@@ -49,44 +52,123 @@
             .is_none_or(|refusal| refusal.until <= self.now)
     }
 
-    /// The pool that suits `tasks` of the job best (paper, section 5.2).
-    /// Cost is what a task would have to pay for: a machine that is half empty
-    /// is paid for in full.
-    pub fn suited(&self, spec: &JobSpec, tasks: u32, only_available: bool) -> Option<Pool> {
-        let mut pools = Vec::new();
-        let mut candidates = Vec::new();
-        let types = &self.book.catalog.as_ref()?.value.types;
-        for kind in types {
-            let per = spec.per_task.count_in(&kind.size);
-            if per == 0 || !spec.allows_type(&kind.name) {
-                continue;
+    /// The pools that suit waiting tasks of a job best (paper, section 5.2). Those of a
+    /// job that is bound to zones go to several, as far as its constraint admits them.
+    pub fn suited(
+        &self,
+        spec: &JobSpec,
+        tasks: u32,
+        mut constraint: ZoneConstraint,
+        only_available: bool,
+    ) -> Vec<Suited> {
+        let by_zone = spec.is_zone_bound() || spec.zone.is_some();
+        let mut suited = Vec::new();
+        let mut left = tasks.max(1);
+        while left > 0 {
+            let places = self.places(spec, &constraint, only_available);
+            let Some(mut pool) = self.best_place(spec, left, places, by_zone) else {
+                break;
+            };
+            let tasks = match pool.zone.as_ref().filter(|_| by_zone) {
+                Some(zone) => left.min(constraint.room(zone)),
+                None => left,
+            };
+            match pool.zone.as_ref().filter(|_| by_zone) {
+                Some(zone) => constraint.add_tasks(zone, tasks),
+                None => pool.zone = None,
             }
-            for spot in [true, false] {
-                if spot && !spec.spot {
-                    continue;
-                }
-                let somewhere = kind.zones.iter().any(|zone| {
-                    spec.allows_zone(zone)
-                        && (!only_available
-                            || self.available(&(kind.name.clone(), zone.clone(), spot)))
-                });
-                if !somewhere {
-                    continue;
+            left -= tasks;
+            suited.push(Suited { pool, tasks });
+        }
+        suited
+    }
+
+    /// Where machines for one more of the job's tasks may be, the zones with fewest
+    /// machines first.
+    fn places(
+        &self,
+        spec: &JobSpec,
+        constraint: &ZoneConstraint,
+        only_available: bool,
+    ) -> Vec<(&MachineType, Place)> {
+        let types = self.book.catalog.iter().flat_map(|kept| &kept.value.types);
+        let types =
+            types.filter(|kind| spec.per_task.fits_in(&kind.size) && spec.allows_type(&kind.name));
+        let mut places = Vec::new();
+        for kind in types {
+            for zone in self.zones_by_size(kind) {
+                for spot in [true, false] {
+                    let place = (kind.name.clone(), zone.clone(), spot);
+                    if (!spot || spec.spot)
+                        && spec.allows_zone(zone)
+                        && constraint.admits(zone)
+                        && (!only_available || self.available(&place))
+                    {
+                        places.push((kind, place));
+                    }
                 }
-                let fetch = spec.image_gb / kind.fetch_gb_per_s.max(0.01);
-                let time = kind.boot + Duration::from_secs_f64(fetch) + spec.estimate;
-                let tasks = tasks.max(1);
-                let machines = f64::from(tasks.div_ceil(per)) / f64::from(tasks);
-                pools.push((kind.name.clone(), spot));
-                candidates.push(suitability::Candidate {
-                    time,
-                    cost: machines * kind.rate(spot) * time.as_secs_f64(),
-                });
             }
         }
+        places
+    }
+
+    fn zones_by_size<'k>(&self, kind: &'k MachineType) -> Vec<&'k ZoneName> {
+        let machines_in = |zone: &ZoneName| {
+            let machines = self.book.machines.values();
+            machines.filter(|machine| machine.zone == *zone).count()
+        };
+        let mut zones: Vec<&ZoneName> = kind.zones.iter().collect();
+        zones.sort_by_cached_key(|zone| machines_in(zone));
+        zones
+    }
+
+    /// The most suitable of these places for tasks of the job. Cost is what a task
+    /// would have to pay for: a machine that is half empty is paid for in full.
+    fn best_place(
+        &self,
+        spec: &JobSpec,
+        tasks: u32,
+        places: Vec<(&MachineType, Place)>,
+        by_zone: bool,
+    ) -> Option<Pool> {
+        let mut pools: Vec<Pool> = Vec::new();
+        let mut candidates = Vec::new();
+        for (kind, (name, zone, spot)) in places {
+            let known = |pool: &Pool| pool.kind == name && pool.spot == spot;
+            if !by_zone && pools.iter().any(known) {
+                continue;
+            }
+            let per = spec.per_task.count_in(&kind.size).max(1);
+            let fetch = spec.image_gb / kind.fetch_gb_per_s.max(0.01);
+            let time = kind.boot + Duration::from_secs_f64(fetch) + spec.estimate;
+            let machines = f64::from(tasks.div_ceil(per)) / f64::from(tasks);
+            pools.push(Pool {
+                kind: name,
+                spot,
+                zone: Some(zone),
+            });
+            candidates.push(suitability::Candidate {
+                time,
+                cost: machines * kind.rate(spot) * time.as_secs_f64(),
+            });
+        }
         suitability::best(&candidates, self.k).map(|at| pools.swap_remove(at))
     }
 
+    /// The zone constraint for the next task of a job.
+    pub fn constraint(&self, job: &JobId) -> ZoneConstraint {
+        let job = self.book.jobs.get(job);
+        job.map_or_else(ZoneConstraint::default, |job| zones::of_job(self.book, job))
+    }
+
+    /// The pools for those of a job's waiting tasks that the available places take.
+    pub fn suited_waiting(&self, waiting: &Unplaced) -> Vec<Suited> {
+        let Some(spec) = self.book.jobs.get(&waiting.job).and_then(|job| job.spec()) else {
+            return Vec::new();
+        };
+        self.suited(spec, waiting.tasks, self.constraint(&waiting.job), true)
+    }
+
     /// The price of the cheapest machine that the job may run on, to be had or not.
     fn least_rate(&self, spec: &JobSpec) -> f64 {
         let types = self.book.catalog.iter().flat_map(|kept| &kept.value.types);
@@ -106,7 +188,7 @@
     pub fn need(
         &self,
         unplaced: &[Unplaced],
-        booting: &mut [(placement::Slot, u32)],
+        booting: &mut [placement::Slot],
     ) -> BTreeMap<Pool, f64> {
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut pressing: BTreeSet<Pool> = BTreeSet::new();
@@ -114,49 +196,47 @@
             let Some(spec) = self.book.jobs.get(&waiting.job).and_then(|job| job.spec()) else {
                 continue;
             };
-            let mut left = waiting.tasks;
-            for (slot, _) in booting.iter_mut() {
-                if left == 0 {
-                    break;
-                }
-                if placement::allowed(spec, slot) {
-                    let fit = spec.per_task.count_in(&slot.room).min(left);
-                    slot.room -= spec.per_task.times(f64::from(fit));
-                    left -= fit;
-                }
-            }
+            let mut constraint = self.constraint(&waiting.job);
+            let left = fill_booting(spec, waiting.tasks, booting, &mut constraint);
             if left == 0 {
                 continue;
             }
-            if let Some(pool) = self.suited(spec, left, true)
-                && let Some(kind) = self.book.machine_type(&pool.0)
-            {
+            for Suited { pool, tasks } in self.suited(spec, left, constraint, true) {
+                let Some(kind) = self.book.machine_type(&pool.kind) else {
+                    continue;
+                };
                 let per = spec.per_task.count_in(&kind.size).max(1);
-                let cheap = kind.rate(pool.1) <= self.least_rate(spec) * CHEAP;
-                if cheap
-                    || waiting.overdue
-                    || spec.kind == JobKind::Service
-                    || spec.priority == Priority::Production
-                {
+                if self.is_pressing(waiting, spec, kind.rate(pool.spot)) {
                     pressing.insert(pool.clone());
                 }
-                *need.entry(pool).or_default() += f64::from(left) / f64::from(per);
+                *need.entry(pool).or_default() += f64::from(tasks) / f64::from(per);
             }
         }
         need.retain(|pool, machines| *machines >= LEAST_FILL || pressing.contains(pool));
         need
     }
 
+    /// Whether tasks get a machine that they do not fill.
+    fn is_pressing(&self, waiting: &Unplaced, spec: &JobSpec, rate: f64) -> bool {
+        rate <= self.least_rate(spec) * CHEAP
+            || waiting.overdue
+            || spec.kind == JobKind::Service
+            || spec.priority == Priority::Production
+    }
+
     /// Spreads a rental over the zones that have not refused, so that they come
     /// to have equally many machines.
     pub fn split(&self, pool: &Pool, count: u32) -> Vec<(ZoneName, u32)> {
-        let Some(kind) = self.book.machine_type(&pool.0) else {
+        if let Some(zone) = &pool.zone {
+            return vec![(zone.clone(), count)];
+        }
+        let Some(kind) = self.book.machine_type(&pool.kind) else {
             return Vec::new();
         };
         let mut zones: Vec<(u32, &ZoneName, u32)> = kind
             .zones
             .iter()
-            .filter(|zone| self.available(&(pool.0.clone(), (*zone).clone(), pool.1)))
+            .filter(|zone| self.available(&(pool.kind.clone(), (*zone).clone(), pool.spot)))
             .map(|zone| {
                 let there = self.book.machines.values();
                 let there = there.filter(|record| record.zone == *zone).count();
@@ -177,6 +257,31 @@
     }
 }
 
+/// Puts waiting tasks on booting machines; returns how many have found no room.
+fn fill_booting(
+    spec: &JobSpec,
+    tasks: u32,
+    booting: &mut [placement::Slot],
+    constraint: &mut ZoneConstraint,
+) -> u32 {
+    let mut left = tasks;
+    for slot in booting {
+        if left == 0 {
+            break;
+        }
+        if placement::allowed(spec, slot) {
+            let fit = spec.per_task.count_in(&slot.room).min(left);
+            let fit = fit.min(constraint.room(&slot.zone));
+            if fit > 0 {
+                slot.room -= spec.per_task.times(f64::from(fit));
+                constraint.add_tasks(&slot.zone, fit);
+                left -= fit;
+            }
+        }
+    }
+    left
+}
+
 /// Boots usually take up to one and a half times what the catalog says.
 const USUAL_BOOT: f64 = 1.6;
 
@@ -203,7 +308,7 @@
     book: &Book,
     now_ms: u64,
     is_up: impl Fn(&MachineId) -> bool,
-) -> Vec<(placement::Slot, u32)> {
+) -> Vec<placement::Slot> {
     book.machines
         .iter()
         .filter(|(id, _)| !is_up(id))
@@ -211,7 +316,7 @@
             let kind = book.machine_type(&record.kind)?;
             let age = Duration::from_millis(now_ms.saturating_sub(record.rented_ms));
             (age < kind.boot.mul_f64(USUAL_BOOT))
-                .then(|| (empty_slot(kind, &record.zone, record.spot), 0))
+                .then(|| empty_slot(kind, &record.zone, record.spot))
         })
         .collect()
 }
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -15,8 +15,8 @@
         ports::*,
     },
     LeaderState,
+    pool::{Pool, Rental, Suited},
     routing::Unplaced,
-    stats::Pool,
 };
 use crate::storage::{
     budget::{Budget, Urgency},
@@ -141,7 +141,7 @@
         let parts = rents.chunks(self.config.state.txn_ops.min(RENTS_PER_COMMIT));
         for part in parts {
             let mut transaction = Transaction::default();
-            for (pool, zone, count) in part {
+            for rental in part {
                 let name = {
                     let mut state = lock(&self.leader);
                     state.fleet.rents += 1;
@@ -152,10 +152,10 @@
                     ))
                 };
                 let record = RentRecord {
-                    kind: pool.0.clone(),
-                    zone: zone.clone(),
-                    spot: pool.1,
-                    count: *count,
+                    kind: rental.pool.kind.clone(),
+                    zone: rental.zone.clone(),
+                    spot: rental.pool.spot,
+                    count: rental.count,
                     at_ms: self.config.now_ms(),
                 };
                 let key = keys::rent(&name);
--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -1,6 +1,6 @@
 //! The band's rounds and the remedial rule between them.
 
-use super::*;
+use super::{super::super::policy::zones::ZoneConstraint, *};
 
 /// Machines rented with one request.
 pub(super) const PER_REQUEST: u32 = 50;
@@ -22,7 +22,7 @@
         book: &Book,
         state: &mut LeaderState,
         now: Instant,
-    ) -> Vec<(Pool, ZoneName, u32)> {
+    ) -> Vec<Rental> {
         let tuning = &self.config.tuning;
         let wall = (self.config.wall)();
         let up: BTreeSet<MachineId> = book
@@ -53,14 +53,18 @@
             wall,
             tuning.start_target,
             tuning.window,
-            |spec| market.suited(spec, spec.tasks, false),
+            |spec| {
+                let whole = ZoneConstraint::of_job(spec);
+                let suited = market.suited(spec, spec.tasks, whole, false);
+                suited.into_iter().next().map(|suited| suited.pool)
+            },
         );
         let mut booting = booting_slots(book, self.config.now_ms(), |id| up.contains(id));
         // Rents on their way count as well.
         for kept in book.rents.values() {
             if let Some(kind) = book.machine_type(&kept.value.kind) {
                 for _ in 0..kept.value.count {
-                    booting.push((empty_slot(kind, &kept.value.zone, kept.value.spot), 0));
+                    booting.push(empty_slot(kind, &kept.value.zone, kept.value.spot));
                 }
             }
         }
@@ -105,7 +109,7 @@
                 let count = (most.ceil() as u32).min(left);
                 left -= count;
                 need.remove(&pool);
-                tracing::info!(kind = %pool.0, spot = pool.1, count, jobs = unplaced.len(),
+                tracing::info!(%pool, count, jobs = unplaced.len(),
                     booting = booting_count, "remedial rule rents");
                 wanted.push((pool, count));
             }
@@ -118,7 +122,11 @@
             for (zone, mut count) in market.split(&pool, count) {
                 while count > 0 && rents.len() < REQUESTS {
                     let part = count.min(PER_REQUEST);
-                    rents.push((pool.clone(), zone.clone(), part));
+                    rents.push(Rental {
+                        pool: pool.clone(),
+                        zone: zone.clone(),
+                        count: part,
+                    });
                     count -= part;
                 }
             }
@@ -140,16 +148,20 @@
         let mut overdue = Vec::new();
         let mut waiting = 0;
         for item in unplaced {
-            let Some(spec) = book.jobs.get(&item.job).and_then(|job| job.spec()) else {
+            if !book.jobs.contains_key(&item.job) {
                 continue;
-            };
-            let pool = market.suited(spec, item.tasks, true);
+            }
             waiting += item.tasks;
-            if let Some(pool) = &pool {
-                *queue.entry(pool.clone()).or_default() += f64::from(item.tasks);
+            let mut nowhere = item.tasks;
+            for Suited { pool, tasks } in market.suited_waiting(item) {
+                nowhere -= tasks;
+                *queue.entry(pool.clone()).or_default() += f64::from(tasks);
+                if item.overdue {
+                    overdue.push((Some(pool), tasks));
+                }
             }
-            if item.overdue {
-                overdue.push((pool, item.tasks));
+            if item.overdue && nowhere > 0 {
+                overdue.push((None, nowhere));
             }
         }
         let misses = stats.misses(&overdue);
@@ -164,9 +176,8 @@
                 least_utilisation: machines
                     .iter()
                     .filter(|(used, _)| {
-                        book.machines
-                            .get(&used.id)
-                            .is_some_and(|record| record.kind == pool.0 && record.spot == pool.1)
+                        let machine = book.machines.get(&used.id);
+                        machine.is_some_and(|machine| pool.holds(machine))
                     })
                     .map(|(used, _)| used.utilisation)
                     .min_by(f64::total_cmp),
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -3,6 +3,7 @@
 pub mod blocks;
 pub mod fleet;
 mod homes;
+pub mod pool;
 pub mod routing;
 pub mod stats;
 
--- a/src/coordination/leader/stats.rs
+++ b/src/coordination/leader/stats.rs
@@ -8,10 +8,8 @@
 
 use tokio::time::Instant;
 
-use crate::storage::*;
-
-/// Machines of one type and kind; the policy's "type".
-pub type Pool = (TypeName, bool);
+use super::pool::Pool;
+use crate::storage::{Book, JobId, JobSpec};
 
 #[derive(Debug, Default, Clone, Copy)]
 struct Progress {
--- a/src/coordination/leader/stats/tests.rs
+++ b/src/coordination/leader/stats/tests.rs
@@ -1,10 +1,15 @@
 //! Tests of `coordination::leader::stats`.
 
 use super::*;
+use crate::storage::TypeName;
 
 #[tokio::test(start_paused = true)]
 async fn overdue_tasks_count_as_missed() {
-    let pool = (TypeName::new("t"), false);
+    let pool = Pool {
+        kind: TypeName::new("t"),
+        spot: false,
+        zone: None,
+    };
     let stats = Stats {
         judged: VecDeque::from([Judged {
             at: Instant::now(),
--- a/src/coordination/policy/zones.rs
+++ b/src/coordination/policy/zones.rs
@@ -89,9 +89,23 @@
         !self.closed.contains(zone) && self.most_in_zone.is_none_or(|most| count < most)
     }
 
+    /// How many more tasks may be in this zone.
+    pub fn room(&self, zone: &ZoneName) -> u32 {
+        if !self.admits(zone) {
+            return 0;
+        }
+        let count = self.counts.get(zone).copied().unwrap_or(0);
+        self.most_in_zone.map_or(u32::MAX, |most| most - count)
+    }
+
     /// Counts one more task in this zone.
     pub fn add(&mut self, zone: &ZoneName) {
-        *self.counts.entry(zone.clone()).or_default() += 1;
+        self.add_tasks(zone, 1);
+    }
+
+    /// Counts more tasks in this zone.
+    pub fn add_tasks(&mut self, zone: &ZoneName, tasks: u32) {
+        *self.counts.entry(zone.clone()).or_default() += tasks;
     }
 
     /// Confines a job that must be in one zone to this one.
