--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -37,6 +37,12 @@
 pub(super) const LEAST_FILL: f64 = 0.6;
 const CHEAP: f64 = 1.6;
 
+/// What a job with waiting tasks needs of the market.
+struct Demand {
+    spec: Arc<JobSpec>,
+    constraint: ZoneConstraint,
+}
+
 /// What renting looks at.
 pub struct Market<'a> {
     pub book: &'a Book,
@@ -155,18 +161,35 @@
         suitability::best(&candidates, self.k).map(|at| pools.swap_remove(at))
     }
 
-    /// The zone constraint for the next task of a job.
-    pub fn constraint(&self, job: &JobId) -> ZoneConstraint {
-        let job = self.book.jobs.get(job);
-        job.map_or_else(ZoneConstraint::default, |job| zones::of_job(self.book, job))
+    /// What a job with waiting tasks needs.
+    fn demand(&self, waiting: &Unplaced) -> Option<Demand> {
+        let job = self.book.jobs.get(&waiting.job)?;
+        let spec = job.spec()?;
+        let constraint = zones::of_job(self.book, job);
+        if spec.home.is_none() || job.present() > 0 {
+            return Some(Demand {
+                spec: spec.clone(),
+                constraint,
+            });
+        }
+        // Nothing of it is there yet: it moves to where machines are to be had, since
+        // those of its zone may never be enough.
+        let anywhere = JobSpec {
+            home: None,
+            ..(**spec).clone()
+        };
+        Some(Demand {
+            constraint: ZoneConstraint::of_job(&anywhere),
+            spec: Arc::new(anywhere),
+        })
     }
 
     /// The pools for those of a job's waiting tasks that the available places take.
     pub fn suited_waiting(&self, waiting: &Unplaced) -> Vec<Suited> {
-        let Some(spec) = self.book.jobs.get(&waiting.job).and_then(|job| job.spec()) else {
+        let Some(Demand { spec, constraint }) = self.demand(waiting) else {
             return Vec::new();
         };
-        self.suited(spec, waiting.tasks, self.constraint(&waiting.job), true)
+        self.suited(&spec, waiting.tasks, constraint, true)
     }
 
     /// The price of the cheapest machine that the job may run on, to be had or not.
@@ -193,10 +216,14 @@
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut pressing: BTreeSet<Pool> = BTreeSet::new();
         for waiting in unplaced {
-            let Some(spec) = self.book.jobs.get(&waiting.job).and_then(|job| job.spec()) else {
+            let Some(Demand {
+                spec,
+                mut constraint,
+            }) = self.demand(waiting)
+            else {
                 continue;
             };
-            let mut constraint = self.constraint(&waiting.job);
+            let spec = &*spec;
             let left = fill_booting(spec, waiting.tasks, booting, &mut constraint);
             if left == 0 {
                 continue;
