--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -5,8 +5,10 @@
     time::{Duration, SystemTime},
 };
 
-use super::{policy::giveback::PaidPeriods, ports::Dialect};
-use crate::storage::*;
+use crate::{
+    coordination::{policy::giveback::PaidPeriods, ports::Dialect},
+    storage::{ClassName, Incarnation, NodeName, StateLimits, Team, TeamName, ZoneName},
+};
 
 /// A class's aim, as far as decisions use it.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/coordination/holder/mod.rs
+++ b/src/coordination/holder/mod.rs
@@ -8,7 +8,6 @@
 mod placing;
 mod results;
 mod stopping;
-
 #[cfg(test)]
 mod tests;
 
@@ -18,15 +17,23 @@
     time::Duration,
 };
 
+use change::Changes;
 use tokio::time::Instant;
 
-use super::{
-    node::{Node, lock},
-    ports::*,
-    view::View,
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        ports::{Exit, HeldMachine, Offer, PeerCall},
+        view::View,
+    },
+    storage::{
+        Attempt, BlockId, Book, JobId, MachineId, Revision, TaskId, Token, Transaction,
+        book::Kept,
+        budget::Urgency,
+        keys,
+        records::{BlockRecord, SeatRecord},
+    },
 };
-use crate::storage::{book::Kept, budget::Urgency, keys, records::*, *};
-use change::Changes;
 
 /// Offers and preemptions kept.
 const OFFERS: usize = 512;
--- a/src/coordination/leader/blocks.rs
+++ b/src/coordination/leader/blocks.rs
@@ -13,7 +13,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::storage::{client::Transaction, keys, records::*, *};
+use crate::storage::{
+    BlockId, Book, Incarnation, MachineId, NodeName, Quota, Revision, Team, TeamName, ZoneName,
+    client::Transaction,
+    keys,
+    records::{BlockRecord, MachineUse, SeatRecord},
+};
 
 /// Machines in a block at most: about 1 KiB of a record, and few machines whose
 /// token rises when one of them is marked or joins.
--- a/src/coordination/leader/fleet/faults.rs
+++ b/src/coordination/leader/fleet/faults.rs
@@ -1,6 +1,24 @@
 //! Finds machines that must go back or elsewhere for a reason of their own.
 
-use super::*;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    coordination::{
+        leader::{
+            LeaderState,
+            fleet::{Reason, Return},
+        },
+        node::{Node, lock},
+        ports::{PeerAnswer, PeerCall},
+    },
+    storage::{BlockId, Book, MachineId, NodeName, TaskId, ZoneName},
+};
 
 /// A machine that seems to be gone.
 pub(super) struct Suspect {
--- a/src/coordination/leader/fleet/lists.rs
+++ b/src/coordination/leader/fleet/lists.rs
@@ -1,6 +1,22 @@
 //! Reads the cloud's catalog and machine list.
 
-use super::*;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::{
+    coordination::{
+        leader::fleet::{FleetState, Reason, Return},
+        node::{Node, lock},
+        ports::{ListedMachine, MachineStage, Sighting},
+    },
+    storage::{
+        RentName, Revision, Transaction, TypeName, ZoneName,
+        budget::{Budget, Urgency},
+        keys,
+        records::{CatalogRecord, RentalRecord},
+    },
+};
 
 impl Node {
     pub(super) async fn poll_catalog(&self, budget: &Budget) {
--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -1,8 +1,23 @@
 //! What can be rented, where, and how much of it is needed.
 
-use super::{
-    super::super::{policy::zones::ZoneConstraint, zones},
-    *,
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    coordination::{
+        leader::{
+            pool::{Pool, Suited},
+            routing::Unplaced,
+        },
+        policy::{giveback, placement, suitability, zones::ZoneConstraint},
+        zones,
+    },
+    storage::{Book, JobKind, JobSpec, MachineId, MachineType, Priority, TypeName, ZoneName},
 };
 
 /// Where and what kind of machine.
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -8,30 +8,24 @@
 mod returns;
 mod rounds;
 
-use super::{
-    super::{
-        node::{Node, lock},
-        policy::{band, giveback, placement, remedial, suitability},
-        ports::*,
-    },
-    LeaderState,
-    pool::{Pool, Rental, Suited},
-    routing::Unplaced,
-};
-use crate::storage::{
-    budget::{Budget, Urgency},
-    chance, keys,
-    records::*,
-    *,
-};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
+
+use market::{Place, Refusal};
 use tokio::time::Instant;
 
-use market::*;
+use crate::{
+    coordination::node::{Node, lock},
+    storage::{
+        MachineId, NodeName, RentName, Revision, Transaction,
+        budget::{Budget, Urgency},
+        keys,
+        records::RentRecord,
+    },
+};
 
 /// Why a machine goes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/coordination/leader/fleet/rents.rs
+++ b/src/coordination/leader/fleet/rents.rs
@@ -1,6 +1,22 @@
 //! Sends rental requests and writes down what came of them.
 
-use super::*;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::market::Refusal;
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        ports::{CloudError, Wanted},
+    },
+    storage::{
+        MachineId, RentName, Revision, Transaction,
+        budget::{Budget, Urgency},
+        chance, keys,
+        records::{RentRecord, RentalRecord},
+    },
+};
 
 /// Rental calls under way at a time; the cloud's limit paces them.
 const RENTS_AT_ONCE: usize = 12;
--- a/src/coordination/leader/fleet/returns.rs
+++ b/src/coordination/leader/fleet/returns.rs
@@ -1,6 +1,26 @@
 //! Gives machines back, emptied first where they still work.
 
-use super::*;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        policy::placement,
+        ports::PeerCall,
+    },
+    storage::{
+        Book, JobKind, MachineId, NodeName, RentName, Resources, Revision, TaskId, Transaction,
+        budget::{Budget, Urgency},
+        chance, keys,
+        records::{MachineUse, RentalRecord},
+    },
+};
 
 /// Replicas of younger jobs are not moved.
 pub(super) const SETTLED: Duration = Duration::from_secs(45);
--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -1,6 +1,26 @@
 //! The band's rounds and the remedial rule between them.
 
-use super::{super::super::policy::zones::ZoneConstraint, *};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::market::{Market, booting_slots, empty_slot, used_machines};
+use crate::{
+    coordination::{
+        leader::{
+            LeaderState,
+            fleet::FleetState,
+            pool::{Pool, Rental, Suited},
+            routing::Unplaced,
+        },
+        node::Node,
+        policy::{band, giveback, remedial, zones::ZoneConstraint},
+    },
+    storage::{Book, MachineId},
+};
 
 /// Machines rented with one request.
 pub(super) const PER_REQUEST: u32 = 50;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -15,11 +15,20 @@
 
 use tokio::time::Instant;
 
-use super::{
-    node::{Node, lock},
-    ports::*,
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        ports::{Dialect, HeldMachine, PeerCall, Sighting, Status},
+    },
+    storage::{
+        BlockId, Book, CommitError, Fate, Incarnation, JobId, MachineId, NodeName, Quota, Revision,
+        TeamName, Transaction,
+        budget::Urgency,
+        client::GrantId,
+        keys,
+        records::{FateRecord, FormatRecord, LeaderRecord},
+    },
 };
-use crate::storage::{budget::Urgency, client::GrantId, keys, records::*, *};
 
 /// A status older than this says nothing about now.
 const STATUS_LIFE: Duration = Duration::from_secs(4);
--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -9,6 +9,7 @@
 mod records;
 mod standing;
 mod unplaced;
+pub use open::{Open, Usage, open_machines};
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -17,12 +18,19 @@
 
 use tokio::time::Instant;
 
-use self::quota::{Used, left};
-use self::standing::{Rank, aged};
-use super::super::ports::Offer;
-pub use open::{Open, Usage, open_machines};
-
-use crate::storage::{book::Job, *};
+use crate::{
+    coordination::{
+        leader::routing::{
+            quota::{Used, left},
+            standing::{Rank, aged},
+        },
+        ports::Offer,
+    },
+    storage::{
+        Book, ClassName, JobId, JobKind, JobSpec, MachineId, NodeName, Priority, Quota, TaskId,
+        Team, TeamName, TypeName, ZoneName, book::Job,
+    },
+};
 
 /// Tasks that found no room.
 #[derive(Clone, Debug)]
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -13,11 +13,21 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{
-    config::Config, holder::HolderState, leader::LeaderState, learning::Learning, ports::*,
-    startup::Startup,
+use crate::{
+    coordination::{
+        config::Config,
+        holder::HolderState,
+        leader::LeaderState,
+        learning::Learning,
+        ports::{CloudPort, Dialect, PeerPort, Sighting, WorkerPort},
+        startup::Startup,
+    },
+    storage::{
+        BlockId, Book, MachineId, NodeName, Revision, StatePort, Store,
+        book::Kept,
+        records::{BlockRecord, SeatRecord},
+    },
 };
-use crate::storage::{book::Kept, records::*, *};
 
 /// What is known of the other controllers by talking to them.
 #[derive(Default)]
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -5,11 +5,13 @@
 use futures::future::join_all;
 use tokio::time::Instant;
 
-use super::{
-    node::{Node, lock},
-    ports::*,
+use crate::{
+    coordination::{
+        node::{Node, lock},
+        ports::{Cancellations, Dialect, PeerAnswer, PeerCall, Report, Sighting, Status},
+    },
+    storage::{NodeName, Revision},
 };
-use crate::storage::*;
 
 const EVERY: Duration = Duration::from_millis(800);
 const SIGHTINGS: usize = 4_096;
--- a/src/coordination/policy/placement.rs
+++ b/src/coordination/policy/placement.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use crate::storage::*;
+use crate::storage::{ImageName, JobKind, JobSpec, MachineId, Resources, TypeName, ZoneName};
 
 /// A machine that might take a task.
 #[derive(Clone, Debug)]
--- a/src/coordination/policy/placement/tests.rs
+++ b/src/coordination/policy/placement/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of `coordination::policy::placement`.
 
 use super::*;
+use crate::storage::{
+    ClassName, ImageName, JobKind, MachineId, Priority, TeamName, TypeName, ZoneName,
+};
 
 pub fn spec(cpus: f64, spot: bool) -> JobSpec {
     JobSpec {
--- a/src/coordination/ports.rs
+++ b/src/coordination/ports.rs
@@ -5,7 +5,10 @@
 
 use futures::future::BoxFuture;
 
-use crate::storage::*;
+use crate::storage::{
+    Attempt, ImageName, Incarnation, JobId, MachineId, MachineType, NodeName, RentName, Resources,
+    Revision, Session, TaskId, Token, TypeName, ZoneName,
+};
 
 /// How a task's process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -2,13 +2,15 @@
 
 use tokio::time::Instant;
 
-use super::{
-    holder::HolderState,
-    node::{Node, lock},
-    ports::*,
-    view::{Source, View},
+use crate::{
+    coordination::{
+        holder::HolderState,
+        node::{Node, lock},
+        ports::{Command, Report, ReportAnswer, TaskState},
+        view::{Source, View},
+    },
+    storage::{Attempt, Book, JobSpec, MachineId, TaskId, Token},
 };
-use crate::storage::*;
 
 /// Commands in one answer; the rest follow with the next.
 const COMMANDS: usize = 400;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
-use super::{node::Node, policy::zones::ZoneScope, ports::Dialect};
-use crate::storage::{book::Job, budget::Urgency, keys, records::*, *};
+use crate::{
+    coordination::{node::Node, policy::zones::ZoneScope, ports::Dialect},
+    storage::{
+        CommitError, Fate, JobId, JobKind, JobSpec, Quota, Revision, Transaction, book::Job,
+        budget::Urgency, keys, records::FateRecord,
+    },
+};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobState {
--- a/src/coordination/view.rs
+++ b/src/coordination/view.rs
@@ -9,8 +9,10 @@
 
 use tokio::time::Instant;
 
-use super::ports::*;
-use crate::storage::{book::Load, *};
+use crate::{
+    coordination::ports::{Command, Report, TaskState},
+    storage::{Attempt, ImageName, JobId, Resources, Session, TaskId, Token, book::Load},
+};
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seen {
--- a/src/coordination/view/tests.rs
+++ b/src/coordination/view/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `coordination::view`.
 
 use super::*;
+use crate::storage::{MachineId, TypeName, ZoneName};
 
 const INTERVAL: Duration = Duration::from_secs(5);
 
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -2,8 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::seconds;
-use crate::{coordination::ports::*, storage::*};
+use crate::{
+    coordination::ports::{ListedMachine, MachineStage},
+    protocol::seconds,
+    storage::{MachineId, MachineType, Resources, TypeName, ZoneName},
+};
 
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Catalog {
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -5,7 +5,15 @@
 
 use rkyv::{Archive, Deserialize, Serialize, rancor::Error};
 
-use crate::{coordination::ports::*, storage::*};
+use crate::{
+    coordination::ports::{
+        Cancellations, Dialect, HeldMachine, Offer, PeerAnswer, PeerCall, Sighting, Status,
+    },
+    storage::{
+        ImageName, Incarnation, JobId, MachineId, NodeName, Resources, Revision, Session, TaskId,
+        TypeName, ZoneName,
+    },
+};
 
 /// Frames beyond this are not read. The largest tells of all machines: of 4,096
 /// held and 4,096 sighted ones, far more than any controller's sockets allow, see
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -5,10 +5,10 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::seconds;
 use crate::{
     coordination::{Config, Tuning, config::Objective, ports::Dialect},
-    storage::*,
+    protocol::seconds,
+    storage::{ClassName, Incarnation, NodeName, Quota, StateLimits, Team, TeamName, ZoneName},
 };
 
 #[derive(Debug, thiserror::Error)]
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -2,10 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::seconds;
 use crate::{
     coordination::users::{JobState, JobStatus},
-    storage::*,
+    protocol::seconds,
+    storage::{
+        ClassName, ImageName, JobId, JobKind, JobSpec, Priority, Resources, TeamName, TypeName,
+        ZoneName,
+    },
 };
 
 #[derive(Debug, Deserialize)]
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -2,8 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::seconds;
-use crate::{coordination::ports::*, storage::*};
+use crate::{
+    coordination::ports::{Command, Exit, Report, TaskReport, TaskState},
+    protocol::seconds,
+    storage::{Attempt, MachineId, Session, TaskId, Token, TypeName, ZoneName},
+};
 
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Hello {
--- a/src/storage/book.rs
+++ b/src/storage/book.rs
@@ -13,11 +13,17 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::{
-    ids::*,
+use crate::storage::{
+    ids::{
+        Attempt, BlockId, Incarnation, JobId, MachineId, NodeName, RentName, Revision, TaskId,
+        TeamName, TypeName,
+    },
     keys::{self, Key},
     model::*,
-    records::*,
+    records::{
+        BlockRecord, CatalogRecord, FateRecord, FormatRecord, LeaderRecord, MachineRecord,
+        NodeRecord, Placement, RentRecord, RentalRecord, RunRecord, SeatRecord,
+    },
 };
 
 /// A map whose order is the same in every run: plans depend on it, and verdicts of
--- a/src/storage/book/tests.rs
+++ b/src/storage/book/tests.rs
@@ -3,6 +3,7 @@
 use serde_json::json;
 
 use super::*;
+use crate::storage::{ClassName, ImageName, Session};
 
 fn run(machine: &str) -> Value {
     json!({"p": {"0": {"a": 1, "m": machine, "s": 1}}})
--- a/src/storage/keys.rs
+++ b/src/storage/keys.rs
@@ -1,6 +1,6 @@
 //! The key scheme. `docs/PROTOCOL-NOTES.md` tells what each key means.
 
-use super::ids::*;
+use crate::storage::ids::{BlockId, JobId, NodeName, RentName};
 
 pub const SPEC: &str = "spec/";
 pub const FATE: &str = "fate/";
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ids::*, keys};
+use crate::storage::{
+    ids::{ClassName, ImageName, TeamName, TypeName, ZoneName},
+    keys,
+};
 
 /// Amounts are decimal numbers on the wire; sums of them are compared with this slack.
 pub const AMOUNT_SLACK: f64 = 1e-6;
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -4,7 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ids::*, model::*};
+use crate::storage::{
+    ids::{
+        Attempt, Incarnation, MachineId, NodeName, RentName, Session, TeamName, TypeName, ZoneName,
+    },
+    model::*,
+};
 
 /// Where a task is, or may be: it counts until it is proven gone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/transport/ports.rs
+++ b/src/transport/ports.rs
@@ -6,14 +6,18 @@
 use futures::future::{BoxFuture, FutureExt};
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::network::{Call, Method, Network, Reply, SendError, Target};
 use crate::{
-    coordination::ports::*,
+    coordination::ports::{
+        CloudError, CloudPort, Command, ListedMachine, NoAnswer, OrdersAnswer, PeerAnswer,
+        PeerCall, PeerPort, Report, Wanted, WorkerPort,
+    },
     protocol::{cloud, peers, state, workers},
     storage::{
+        CommitError, MachineId, MachineType, NodeName, RentName, Revision, Session, StateError,
+        StatePort, Token, Transaction,
         client::{Event, GrantId, Item, Page},
-        *,
     },
+    transport::network::{Call, Method, Network, Reply, SendError, Target},
 };
 
 type Net = Arc<dyn Network>;
