--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -86,7 +86,7 @@
     pub wall: Arc<dyn Fn() -> SystemTime + Send + Sync>,
 }
 
-/// Kept back from `cancel` for clock drift, timers and the way of an answer.
+/// Versioned back from `cancel` for clock drift, timers and the way of an answer.
 const CANCEL_MARGIN: Duration = Duration::from_secs(3);
 
 impl Config {
--- a/src/coordination/holder/change.rs
+++ b/src/coordination/holder/change.rs
@@ -5,7 +5,7 @@
 use crate::{
     coordination::ports::{Command, Exit},
     storage::{
-        BlockId, JobId, MachineId, Revision, Session, TaskId, book, keys, records::RunRecord,
+        BlockId, JobId, MachineId, Revision, Session, TaskId, keys, records::RunRecord, state_cache,
     },
 };
 
@@ -37,7 +37,7 @@
 
 impl Changes {
     /// The change of the record that this task stands in.
-    pub(super) fn of(&mut self, id: &JobId, job: &book::Job, task: u32) -> &mut JobChange {
+    pub(super) fn of(&mut self, id: &JobId, job: &state_cache::Job, task: u32) -> &mut JobChange {
         let chunk = task / keys::CHUNK;
         let key = (id.clone(), chunk);
         self.0.entry(key).or_insert_with(|| JobChange {
--- a/src/coordination/holder/commits.rs
+++ b/src/coordination/holder/commits.rs
@@ -12,8 +12,8 @@
         ports::Command,
     },
     storage::{
-        Book, CommitError, Fate, MachineId, Priority, Revision, Session, Transaction,
-        budget::Urgency, keys, records::FateRecord,
+        CommitError, JobOutcome, MachineId, Priority, Revision, Session, StateCache, Transaction,
+        budget::Urgency, keys, records::OutcomeRecord,
     },
 };
 
@@ -26,17 +26,17 @@
     pub(super) async fn commit_changes(self: &Arc<Self>, changes: Changes) {
         let mut parts: Vec<(Transaction, JobChange)> = Vec::new();
         let seat = {
-            let book = self.store.book();
-            let Some(seat) = self.own_seat(&book).map(|kept| kept.mark) else {
+            let cache = self.store.cache();
+            let Some(seat) = self.own_seat(&cache).map(|kept| kept.revision) else {
                 return;
             };
             for (_, mut change) in changes.0 {
-                if let Some(transaction) = self.write_job(&book, &mut change) {
+                if let Some(transaction) = self.write_job(&cache, &mut change) {
                     parts.push((transaction, change));
                 }
             }
             parts.sort_by_cached_key(|(_, change)| {
-                let job = book.jobs.get(&change.id);
+                let job = cache.jobs.get(&change.id);
                 let spec = job.and_then(|job| job.spec());
                 let pressing = match spec {
                     _ if change.finishes => 1,
@@ -97,17 +97,21 @@
     }
 
     /// The transaction part for one job, without the seat's condition.
-    pub(super) fn write_job(&self, book: &Book, change: &mut JobChange) -> Option<Transaction> {
-        let job = book.jobs.get(&change.id)?;
+    pub(super) fn write_job(
+        &self,
+        cache: &StateCache,
+        change: &mut JobChange,
+    ) -> Option<Transaction> {
+        let job = cache.jobs.get(&change.id)?;
         let spec = job.spec();
         let kept = job.chunks.get(&change.chunk);
         let placed = kept.iter().flat_map(|kept| kept.value.placed.values());
         let mut machines = placed.map(|placement| &placement.machine);
         change.shared = machines.any(|machine| {
-            book.machines.contains_key(machine) && self.own_block_of(book, machine).is_none()
+            cache.machines.contains_key(machine) && self.own_block_of(cache, machine).is_none()
         });
         let key = keys::run(&change.id, change.chunk);
-        let mut part = Transaction::default().require(key.clone(), job.run_mark(change.chunk));
+        let mut part = Transaction::default().require(key.clone(), job.run_revision(change.chunk));
         let done = change.record.done_count();
         let finished = spec.is_some_and(|spec| spec.tasks <= keys::CHUNK && done >= spec.tasks);
         for (block, mark) in &change.blocks {
@@ -116,8 +120,8 @@
         if finished && job.draining.is_none() {
             change.finishes = true;
             // The end of a job of one record takes its keys with it.
-            let fate = FateRecord {
-                fate: Fate::Done,
+            let fate = OutcomeRecord {
+                fate: JobOutcome::Done,
                 done: spec.map_or(0, |spec| spec.tasks),
             };
             return Some(
@@ -132,11 +136,11 @@
             let spec = spec?;
             part = part
                 .require(keys::fate(&change.id), Revision(0))
-                .require(keys::spec(&change.id), job.spec.as_ref()?.mark);
+                .require(keys::spec(&change.id), job.spec.as_ref()?.revision);
             if depends_on_all_records(spec, self.config.state.txn_ops) {
                 for chunk in 0..spec.records() {
                     if chunk != change.chunk {
-                        part = part.require(keys::run(&change.id, chunk), job.run_mark(chunk));
+                        part = part.require(keys::run(&change.id, chunk), job.run_revision(chunk));
                     }
                 }
             }
@@ -184,7 +188,7 @@
                 Err(error) => {
                     tracing::debug!(%error, "commit failed");
                     if error.is_unknown() && fenced {
-                        lock(&self.holder).refence = true;
+                        lock(&self.holder).must_void_pending = true;
                     }
                     self.pause(Duration::from_millis(100)).await;
                     return false;
@@ -198,7 +202,7 @@
     pub(super) async fn learn_fates(&self, failed: &[String]) {
         self.store.fresh().await;
         for key in failed {
-            if let Some(keys::Key::Fate(job)) = keys::Key::parse(key) {
+            if let Some(keys::Key::JobOutcome(job)) = keys::Key::parse(key) {
                 let _ = self.store.look_up_fate(&job).await;
                 lock(&self.holder).offers.remove(&job);
             }
@@ -208,11 +212,11 @@
     pub(super) fn dispatch_starts(self: &Arc<Self>, group: Vec<(Transaction, JobChange)>) {
         let mut by_machine: BTreeMap<(MachineId, Session), Vec<Command>> = BTreeMap::new();
         {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.holder);
             for (_, change) in group {
                 for (task, machine, exit) in &change.ends {
-                    self.learn_from(&mut state, &book, task, machine, *exit);
+                    self.learn_from(&mut state, &cache, task, machine, *exit);
                 }
                 for (machine, session, command) in change.starts {
                     if let Command::Start { task, attempt } = &command {
--- a/src/coordination/holder/mod.rs
+++ b/src/coordination/holder/mod.rs
@@ -27,11 +27,11 @@
         view::View,
     },
     storage::{
-        Attempt, BlockId, Book, JobId, MachineId, Revision, TaskId, Token, Transaction,
-        book::Kept,
+        Attempt, BlockId, JobId, MachineId, Revision, StateCache, TaskId, Token, Transaction,
         budget::Urgency,
         keys,
         records::{BlockRecord, SeatRecord},
+        state_cache::Versioned,
     },
 };
 
@@ -65,7 +65,7 @@
 
 /// What is known of a task of ours that is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Outcome {
+pub(super) enum TaskOutcome {
     /// It ended, and its worker said so.
     Ended(Exit),
     /// Surely not there: its worker's session is over, or it never started and
@@ -85,7 +85,7 @@
     failing: BTreeMap<JobId, Failing>,
     /// The outcome of a commit is unknown: nothing is placed before the seat
     /// has a new revision, which voids whatever may still be on its way.
-    refence: bool,
+    must_void_pending: bool,
 }
 
 impl HolderState {
@@ -137,10 +137,10 @@
     }
 
     pub(super) fn take_preemptions(&self, tasks: Vec<TaskId>) {
-        let book = self.store.book();
+        let cache = self.store.cache();
         let mut state = lock(&self.holder);
         for task in tasks {
-            let placement = book
+            let placement = cache
                 .jobs
                 .get(&task.job)
                 .and_then(|job| job.placement(task.index));
@@ -152,14 +152,14 @@
             }
         }
         drop(state);
-        drop(book);
+        drop(cache);
         self.holder_kick.notify_one();
     }
 
     pub(super) fn held_machines(&self, now: Instant) -> Vec<HeldMachine> {
-        let book = self.store.book();
+        let cache = self.store.cache();
         let state = lock(&self.holder);
-        self.own_blocks(&book)
+        self.own_blocks(&cache)
             .flat_map(|(_, kept)| kept.value.machines.keys())
             .filter_map(|id| Some((id, state.views.get(id)?)))
             .map(|(id, view)| HeldMachine {
@@ -174,14 +174,14 @@
                     .clone()
                     .filter(|_| view.reported)
                     .filter(|address| {
-                        let known = book.machines.get(id);
+                        let known = cache.machines.get(id);
                         known.is_some_and(|known| known.address.as_ref() != Some(address))
                     }),
                 session: view.session,
                 sequence: view.sequence(),
                 images: view.images(),
                 speed: view.speed,
-                freed: book
+                freed: cache
                     .on_machine
                     .get(id)
                     .map(|load| view.freed(load))
@@ -214,23 +214,23 @@
     }
 
     async fn hold_once(self: &Arc<Self>) {
-        let (seat, refence) = {
-            let book = self.store.book();
-            let seat = self.own_seat(&book).cloned();
+        let (seat, must_void_pending) = {
+            let cache = self.store.cache();
+            let seat = self.own_seat(&cache).cloned();
             let mut state = lock(&self.holder);
             if seat.is_some() {
-                self.align(&mut state, &book);
+                self.align(&mut state, &cache);
             } else {
                 *state = HolderState {
                     failing: std::mem::take(&mut state.failing),
-                    refence: state.refence,
+                    must_void_pending: state.must_void_pending,
                     ..HolderState::default()
                 };
             }
-            (seat, state.refence)
+            (seat, state.must_void_pending)
         };
         let Some(seat) = seat else { return };
-        if refence && !self.refence(&seat).await {
+        if must_void_pending && !self.void_pending_commits(&seat).await {
             return;
         }
         self.settle_blocks().await;
@@ -238,21 +238,21 @@
         // may be made is not outdated when it is sent.
         let wait = self.store.commit_wait(Urgency::Place);
         let (changes, stops, mates) = {
-            let book = self.store.book();
-            let Some(seat) = self.own_seat(&book) else {
+            let cache = self.store.cache();
+            let Some(seat) = self.own_seat(&cache) else {
                 return;
             };
             let mut state = lock(&self.holder);
             let now = Instant::now();
             let mut changes = Changes::default();
             if wait.is_none() {
-                self.collect_results(&mut state, &book, now, &mut changes);
+                self.collect_results(&mut state, &cache, now, &mut changes);
                 if self.store.is_reachable() {
-                    self.place_offers(&mut state, &book, seat, now, &mut changes);
+                    self.place_offers(&mut state, &cache, seat, now, &mut changes);
                 }
             }
             let mut mates = BTreeMap::new();
-            let stops = self.collect_stops(&mut state, &book, now, &mut mates);
+            let stops = self.collect_stops(&mut state, &cache, now, &mut mates);
             (changes, stops, mates)
         };
         for (node, tasks) in mates {
@@ -274,19 +274,20 @@
     }
 
     /// Views exist for our blocks' machines and for no others.
-    fn align(&self, state: &mut HolderState, book: &Book) {
+    fn align(&self, state: &mut HolderState, cache: &StateCache) {
         let HolderState {
             views, preempting, ..
         } = state;
         preempting.retain(|task, attempt| {
-            book.jobs
+            cache
+                .jobs
                 .get(&task.job)
                 .and_then(|job| job.placement(task.index))
                 .is_some_and(|placement| placement.attempt == *attempt)
         });
         let blocks: Vec<(BlockId, Revision)> = self
-            .own_blocks(book)
-            .map(|(id, kept)| (id, kept.mark))
+            .own_blocks(cache)
+            .map(|(id, kept)| (id, kept.revision))
             .collect();
         if state.aligned == blocks {
             return;
@@ -294,14 +295,14 @@
         self.startup.note_holding();
         let now = Instant::now();
         views.retain(|id, view| {
-            self.own_block_of(book, id).is_some()
-                && view.acquired == Token::from(book.held_since(id))
+            self.own_block_of(cache, id).is_some()
+                && view.acquired == Token::from(cache.held_since(id))
         });
-        for (_, kept) in self.own_blocks(book) {
+        for (_, kept) in self.own_blocks(cache) {
             for id in kept.value.machines.keys() {
                 views
                     .entry(id.clone())
-                    .or_insert_with(|| View::new(book.held_since(id).into(), now));
+                    .or_insert_with(|| View::new(cache.held_since(id).into(), now));
             }
         }
         state.aligned = blocks;
@@ -310,19 +311,19 @@
     /// Blocks with unanswered starts are written anew: a start that may still be
     /// on its way is not executed under a higher token.
     async fn settle_blocks(&self) {
-        let unsettled: Vec<(BlockId, Kept<BlockRecord>)> = {
-            let book = self.store.book();
+        let unsettled: Vec<(BlockId, Versioned<BlockRecord>)> = {
+            let cache = self.store.cache();
             let state = lock(&self.holder);
-            let mut found: BTreeMap<BlockId, Kept<BlockRecord>> = BTreeMap::new();
+            let mut found: BTreeMap<BlockId, Versioned<BlockRecord>> = BTreeMap::new();
             for (id, view) in &state.views {
                 let wants = view.unsettled.is_some_and(|(token, at)| {
                     at.elapsed() > SETTLE_AFTER && view.heard > at && token >= view.token
                 });
-                if wants && let Some((block, kept)) = self.own_block_of(&book, id) {
+                if wants && let Some((block, kept)) = self.own_block_of(&cache, id) {
                     // Raised already: the worker only has to hear of it.
                     let raised = view
                         .unsettled
-                        .is_some_and(|(token, _)| Token::from(kept.mark) > token);
+                        .is_some_and(|(token, _)| Token::from(kept.revision) > token);
                     if !raised {
                         found.insert(block, kept.clone());
                     }
@@ -333,7 +334,7 @@
         for (id, kept) in unsettled {
             let key = keys::block(id);
             let transaction = Transaction::default()
-                .require(key.clone(), kept.mark)
+                .require(key.clone(), kept.revision)
                 .set(key, &kept.value);
             match self.store.commit(&transaction, Urgency::Fence).await {
                 Ok(mark) => tracing::debug!(block = %id, token = %mark, "raised its token"),
@@ -347,22 +348,22 @@
 
     /// Writes the seat anew: no earlier commit of ours applies to its new
     /// revision.
-    async fn refence(&self, seat: &Kept<SeatRecord>) -> bool {
+    async fn void_pending_commits(&self, seat: &Versioned<SeatRecord>) -> bool {
         let key = keys::seat(&self.config.node);
         let transaction = Transaction::default()
-            .require(key.clone(), seat.mark)
+            .require(key.clone(), seat.revision)
             .set(key, &seat.value);
         match self.store.commit(&transaction, Urgency::Fence).await {
             Ok(mark) => {
                 tracing::debug!(%mark, "wrote our seat anew");
-                // What was committed before it is in the book only after this.
+                // What was committed before it is in the cache only after this.
                 let fresh = self.store.fresh().await;
-                lock(&self.holder).refence = !fresh;
+                lock(&self.holder).must_void_pending = !fresh;
                 fresh
             }
             Err(error) => {
                 tracing::debug!(%error, "cannot write our seat anew");
-                lock(&self.holder).refence |= error.is_unknown();
+                lock(&self.holder).must_void_pending |= error.is_unknown();
                 if !self.store.fresh().await {
                     self.pause(Duration::from_millis(200)).await;
                 }
--- a/src/coordination/holder/orders.rs
+++ b/src/coordination/holder/orders.rs
@@ -28,8 +28,8 @@
     ) {
         let starts = session.is_some();
         let (address, session, token) = {
-            let book = self.store.book();
-            let Some((_, block)) = self.own_block_of(&book, &machine) else {
+            let cache = self.store.cache();
+            let Some((_, block)) = self.own_block_of(&cache, &machine) else {
                 return;
             };
             let mut state = lock(&self.holder);
@@ -43,7 +43,7 @@
                 view.start_sent();
             }
             let session = session.unwrap_or(view.session);
-            (address, session, Token::from(block.mark))
+            (address, session, Token::from(block.revision))
         };
         let node = self.clone();
         tokio::spawn(async move {
@@ -55,7 +55,7 @@
                     .await
             };
             let now = Instant::now();
-            let book = node.store.book();
+            let cache = node.store.cache();
             let mut state = lock(&node.holder);
             let Some(view) = state.views.get_mut(&machine) else {
                 return;
@@ -69,9 +69,9 @@
                         tracing::debug!(%machine, %token, "orders not executed");
                     }
                     view.take(&answer.report, Source::Direct, now);
-                    node.note_results(&mut state, &book, &machine, now);
+                    node.note_results(&mut state, &cache, &machine, now);
                     drop(state);
-                    drop(book);
+                    drop(cache);
                     node.holder_kick.notify_one();
                 }
                 Err(error) => {
@@ -88,7 +88,7 @@
     pub(in crate::coordination) async fn probe_silent(&self) {
         while self.pause(Duration::from_millis(700)).await {
             let silent: Vec<(MachineId, Option<String>)> = {
-                let book = self.store.book();
+                let cache = self.store.cache();
                 let now = Instant::now();
                 let mut state = lock(&self.holder);
                 let after = self.config.worker_report.mul_f64(1.3);
@@ -104,7 +104,7 @@
                     .take(PROBES)
                     .map(|(id, view)| {
                         view.probed = Some(now);
-                        let known = book
+                        let known = cache
                             .machines
                             .get(id)
                             .and_then(|record| record.address.clone());
--- a/src/coordination/holder/placing.rs
+++ b/src/coordination/holder/placing.rs
@@ -23,11 +23,10 @@
         view::View,
     },
     storage::{
-        AMOUNT_SLACK, BlockId, Book, JobId, JobKind, JobSpec, MachineId, Quota, TaskId, TeamName,
-        ZoneName,
-        book::{self, Kept},
-        keys,
+        AMOUNT_SLACK, BlockId, JobId, JobKind, JobSpec, MachineId, Quota, StateCache, TaskId,
+        TeamName, ZoneName, keys,
         records::{MachineUse, SeatRecord},
+        state_cache::{self, Versioned},
     },
 };
 
@@ -48,7 +47,7 @@
 struct OfferedJob<'a> {
     id: &'a JobId,
     spec: &'a JobSpec,
-    job: &'a book::Job,
+    job: &'a state_cache::Job,
 }
 
 impl OfferedJob<'_> {
@@ -77,12 +76,12 @@
 }
 
 /// The jobs that were offered and still run, the most pressing first.
-fn offered_jobs<'a>(state: &HolderState, book: &'a Book) -> Vec<OfferedJob<'a>> {
+fn offered_jobs<'a>(state: &HolderState, cache: &'a StateCache) -> Vec<OfferedJob<'a>> {
     let mut jobs: Vec<OfferedJob<'a>> = state
         .offers
         .keys()
         .filter_map(|id| {
-            let (id, job) = book.jobs.get_key_value(id)?;
+            let (id, job) = cache.jobs.get_key_value(id)?;
             let spec = job.spec()?;
             job.draining
                 .is_none()
@@ -107,17 +106,19 @@
 
 impl Node {
     /// Free room on our machines, as far as it may be used now.
-    fn slots(&self, state: &HolderState, book: &Book, now: Instant) -> Vec<placement::Slot> {
+    fn slots(&self, state: &HolderState, cache: &StateCache, now: Instant) -> Vec<placement::Slot> {
         let mut slots = Vec::new();
         let now_ms = self.config.now_ms();
         let quiet = self.config.worker_report.mul_f64(1.5);
         let patience = self.config.deaf_after();
-        let blocks = self.own_blocks(book).filter(|(_, kept)| !kept.value.frozen);
+        let blocks = self
+            .own_blocks(cache)
+            .filter(|(_, kept)| !kept.value.frozen);
         for (id, usage) in blocks.flat_map(|(_, kept)| &kept.value.machines) {
-            let (Some(view), Some(record)) = (state.views.get(id), book.machines.get(id)) else {
+            let (Some(view), Some(record)) = (state.views.get(id), cache.machines.get(id)) else {
                 continue;
             };
-            let Some(kind) = book.machine_type(&record.kind) else {
+            let Some(kind) = cache.machine_type(&record.kind) else {
                 continue;
             };
             if *usage == MachineUse::Frozen
@@ -132,7 +133,7 @@
                 continue;
             }
             let mut room = kind.size;
-            if let Some(load) = book.on_machine.get(id) {
+            if let Some(load) = cache.on_machine.get(id) {
                 room -= load.taken;
                 room += view.freed(load);
             }
@@ -161,8 +162,8 @@
     pub(super) fn place_offers(
         &self,
         state: &mut HolderState,
-        book: &Book,
-        seat: &Kept<SeatRecord>,
+        cache: &StateCache,
+        seat: &Versioned<SeatRecord>,
         now: Instant,
         changes: &mut Changes,
     ) {
@@ -171,19 +172,19 @@
             return;
         }
         let machines = self
-            .own_blocks(book)
+            .own_blocks(cache)
             .flat_map(|(_, kept)| kept.value.machines.keys());
         let mut free = Free {
-            slots: self.slots(state, book, now),
-            used: book.quota_used(machines),
+            slots: self.slots(state, cache, now),
+            used: cache.quota_used(machines),
         };
-        for offered in offered_jobs(state, book) {
+        for offered in offered_jobs(state, cache) {
             let tasks = offered.unplaced(state, changes);
             if offered.spec.kind == JobKind::Gang && (tasks.is_empty() || !offered.job.may_join()) {
                 continue;
             }
-            let chosen = self.place_job(state, book, seat, &offered, &tasks, &mut free);
-            self.note_placements(state, book, &offered, chosen, &free.slots, changes);
+            let chosen = self.place_job(state, cache, seat, &offered, &tasks, &mut free);
+            self.note_placements(state, cache, &offered, chosen, &free.slots, changes);
         }
     }
 
@@ -192,8 +193,8 @@
     fn place_job(
         &self,
         state: &HolderState,
-        book: &Book,
-        seat: &Kept<SeatRecord>,
+        cache: &StateCache,
+        seat: &Versioned<SeatRecord>,
         offered: &OfferedJob<'_>,
         tasks: &[u32],
         free: &mut Free,
@@ -211,7 +212,7 @@
             budget: budgets.get(&spec.team).copied().unwrap_or_default(),
         };
         let mut chosen = Vec::with_capacity(tasks.len());
-        for (tasks, constraint) in zones::constrained_parts(book, job, scope, tasks) {
+        for (tasks, constraint) in zones::constrained_parts(cache, job, scope, tasks) {
             let slots = &mut free.slots;
             let part = if gang && spec.one_zone && constraint.is_open() {
                 self.choose_zone(&state.views, (id, job), tasks, slots, &mut team)
@@ -236,7 +237,7 @@
     fn note_placements(
         &self,
         state: &HolderState,
-        book: &Book,
+        cache: &StateCache,
         offered: &OfferedJob<'_>,
         chosen: Vec<(u32, usize)>,
         slots: &[placement::Slot],
@@ -246,7 +247,7 @@
         for (task, at) in chosen {
             let machine = &slots[at].machine;
             let (Some(view), Some((block, kept))) =
-                (state.views.get(machine), self.own_block_of(book, machine))
+                (state.views.get(machine), self.own_block_of(cache, machine))
             else {
                 continue;
             };
@@ -262,7 +263,7 @@
             change.record.place(task, machine.clone(), session, attempt);
             change.places = true;
             change.fenced = true;
-            change.blocks.insert(block, kept.mark);
+            change.blocks.insert(block, kept.revision);
             let task = TaskId::new(id.clone(), task);
             let start = Command::Start { task, attempt };
             change.starts.push((machine.clone(), session, start));
@@ -274,7 +275,7 @@
     fn choose_zone(
         &self,
         views: &BTreeMap<MachineId, View>,
-        (id, job): (&JobId, &book::Job),
+        (id, job): (&JobId, &state_cache::Job),
         tasks: &[u32],
         slots: &mut Vec<placement::Slot>,
         team: &mut TeamUse,
@@ -301,7 +302,7 @@
     pub(super) fn has_condition_for(
         &self,
         change: &JobChange,
-        job: &book::Job,
+        job: &state_cache::Job,
         block: BlockId,
     ) -> bool {
         let changes = self.config.state.txn_ops;
@@ -317,7 +318,7 @@
     fn choose_slots(
         &self,
         views: &BTreeMap<MachineId, View>,
-        (id, job): (&JobId, &book::Job),
+        (id, job): (&JobId, &state_cache::Job),
         tasks: &[u32],
         slots: &mut [placement::Slot],
         team: &mut TeamUse,
--- a/src/coordination/holder/results.rs
+++ b/src/coordination/holder/results.rs
@@ -4,14 +4,14 @@
 
 use tokio::time::Instant;
 
-use super::{HolderState, Outcome, change::Changes};
+use super::{HolderState, TaskOutcome, change::Changes};
 use crate::{
     coordination::{
         node::{Node, lock},
         ports::{Exit, TaskState},
         view::View,
     },
-    storage::{Attempt, Book, MachineId, TaskId, book, records::Placement},
+    storage::{Attempt, MachineId, StateCache, TaskId, records::Placement, state_cache},
 };
 
 impl Node {
@@ -19,29 +19,29 @@
     pub(super) fn outcome(
         &self,
         view: &View,
-        job: Option<&book::Job>,
+        job: Option<&state_cache::Job>,
         task: &TaskId,
         placement: &Placement,
         preempting: &BTreeMap<TaskId, Attempt>,
-    ) -> Option<Outcome> {
+    ) -> Option<TaskOutcome> {
         if !view.reported {
             return None;
         }
         if view.outlived(placement.session) {
-            return Some(Outcome::Gone);
+            return Some(TaskOutcome::Gone);
         }
         let seen = view
             .tasks
             .get(task)
             .filter(|seen| seen.attempt == placement.attempt);
         match seen.map(|seen| seen.state) {
-            Some(TaskState::Exited(exit)) => Some(Outcome::Ended(exit)),
+            Some(TaskState::Exited(exit)) => Some(TaskOutcome::Ended(exit)),
             Some(_) => None,
             None => {
                 let unwanted = job.is_none_or(|job| job.draining.is_some())
                     || preempting.get(task) == Some(&placement.attempt);
                 (unwanted && placement.session == view.session && view.absence_is_proof(task))
-                    .then_some(Outcome::Gone)
+                    .then_some(TaskOutcome::Gone)
             }
         }
     }
@@ -51,7 +51,7 @@
     pub(in crate::coordination) fn note_results(
         &self,
         state: &mut HolderState,
-        book: &Book,
+        cache: &StateCache,
         machine: &MachineId,
         now: Instant,
     ) -> bool {
@@ -61,25 +61,25 @@
             preempting,
             ..
         } = state;
-        let (Some(load), Some(view)) = (book.on_machine.get(machine), views.get_mut(machine))
+        let (Some(load), Some(view)) = (cache.on_machine.get(machine), views.get_mut(machine))
         else {
             return false;
         };
         let mut any = false;
-        let cache = book
+        let cache_gb = cache
             .machines
             .get(machine)
-            .and_then(|record| book.machine_type(&record.kind))
+            .and_then(|record| cache.machine_type(&record.kind))
             .map(|kind| kind.cache_gb);
         for (task, placed) in &load.tasks {
             let running = view
                 .tasks
                 .get(task)
                 .is_some_and(|seen| seen.state == TaskState::Running);
-            if running && let (Some(spec), Some(cache)) = (&placed.spec, cache) {
-                view.note_image(&spec.image, spec.image_gb, cache);
+            if running && let (Some(spec), Some(cache_gb)) = (&placed.spec, cache_gb) {
+                view.note_image(&spec.image, spec.image_gb, cache_gb);
             }
-            let job = book.jobs.get(&task.job);
+            let job = cache.jobs.get(&task.job);
             let outcome = self.outcome(view, job, task, &placed.placement, preempting);
             if outcome.is_some() {
                 any = true;
@@ -107,7 +107,7 @@
     pub(super) fn collect_results(
         &self,
         state: &mut HolderState,
-        book: &Book,
+        cache: &StateCache,
         now: Instant,
         changes: &mut Changes,
     ) {
@@ -119,10 +119,10 @@
             ..
         } = state;
         results.retain(|id, since| {
-            let Some(job) = book.jobs.get(id) else {
+            let Some(job) = cache.jobs.get(id) else {
                 return false;
             };
-            let mut found: Vec<(u32, &Placement, Outcome)> = Vec::new();
+            let mut found: Vec<(u32, &Placement, TaskOutcome)> = Vec::new();
             let mut open = 0;
             for (index, placement) in job.chunks.values().flat_map(|kept| &kept.value.placed) {
                 let Some(view) = views.get(&placement.machine) else {
@@ -142,26 +142,26 @@
             }
             for (index, placement, outcome) in found {
                 let change = changes.of(id, job, index);
-                if outcome == Outcome::Gone
-                    && let Some((block, kept)) = self.own_block_of(book, &placement.machine)
+                if outcome == TaskOutcome::Gone
+                    && let Some((block, kept)) = self.own_block_of(cache, &placement.machine)
                 {
                     if !self.has_condition_for(change, job, block) {
                         // In the next round.
                         continue;
                     }
                     change.fenced = true;
-                    change.blocks.insert(block, kept.mark);
+                    change.blocks.insert(block, kept.revision);
                 }
                 match outcome {
-                    Outcome::Ended(Exit::Done) => change.record.complete(index),
+                    TaskOutcome::Ended(Exit::Done) => change.record.complete(index),
                     _ => change.record.unplace(index),
                 }
-                if let Outcome::Ended(exit) = outcome {
+                if let TaskOutcome::Ended(exit) = outcome {
                     let task = TaskId::new(id.clone(), index);
                     change.ends.push((task, placement.machine.clone(), exit));
                 }
             }
-            // It stays until the book shows the result.
+            // It stays until the cache shows the result.
             true
         });
     }
@@ -171,7 +171,7 @@
     pub(super) fn learn_from(
         &self,
         state: &mut HolderState,
-        book: &Book,
+        cache: &StateCache,
         task: &TaskId,
         machine: &MachineId,
         exit: Exit,
@@ -181,7 +181,7 @@
             return;
         };
         if exit == Exit::Done {
-            let spec = book.jobs.get(&task.job).and_then(|job| job.spec());
+            let spec = cache.jobs.get(&task.job).and_then(|job| job.spec());
             let since = view.tasks.get(task).and_then(|seen| seen.running_since);
             if let (Some(spec), Some(since)) = (spec, since)
                 && let Some(ratio) = lock(&self.learning).learn(
--- a/src/coordination/holder/stopping.rs
+++ b/src/coordination/holder/stopping.rs
@@ -14,7 +14,7 @@
         ports::{Command, TaskState},
         reports::grace,
     },
-    storage::{Book, JobId, JobKind, MachineId, NodeName, TaskId, records::Placement},
+    storage::{JobId, JobKind, MachineId, NodeName, StateCache, TaskId, records::Placement},
 };
 
 /// Before a stop that was not obeyed is sent again directly.
@@ -27,7 +27,7 @@
     pub(super) fn collect_stops(
         &self,
         state: &mut HolderState,
-        book: &Book,
+        cache: &StateCache,
         now: Instant,
         mates: &mut BTreeMap<NodeName, Vec<TaskId>>,
     ) -> Vec<(MachineId, Vec<Command>)> {
@@ -36,12 +36,12 @@
         } = state;
         let mut leaving_gangs: BTreeSet<JobId> = BTreeSet::new();
         let mut wanted: Vec<(TaskId, &Placement)> = Vec::new();
-        let ending = book.ending.iter().filter(|id| book.is_cancelled(id));
-        let told = book
+        let ending = cache.ending.iter().filter(|id| cache.is_cancelled(id));
+        let told = cache
             .told_cancelled()
-            .filter(|id| !book.ending.contains(*id));
+            .filter(|id| !cache.ending.contains(*id));
         for id in ending.chain(told) {
-            let Some(job) = book.jobs.get(id) else {
+            let Some(job) = cache.jobs.get(id) else {
                 continue;
             };
             for (index, placement) in job.chunks.values().flat_map(|kept| &kept.value.placed) {
@@ -49,7 +49,7 @@
             }
         }
         for (task, attempt) in preempting.iter() {
-            let job = book.jobs.get(&task.job);
+            let job = cache.jobs.get(&task.job);
             if let Some(placement) = job.and_then(|job| job.placement(task.index))
                 && placement.attempt == *attempt
             {
@@ -62,7 +62,7 @@
             let Some(leaves_at) = view.leaves_at else {
                 continue;
             };
-            for (task, placed) in book.on_machine.get(machine).iter().flat_map(|l| &l.tasks) {
+            for (task, placed) in cache.on_machine.get(machine).iter().flat_map(|l| &l.tasks) {
                 if let Some(spec) = placed.spec.as_ref().filter(|s| s.kind == JobKind::Gang) {
                     let seen = view.tasks.get(task);
                     let since = seen.and_then(|seen| seen.running_since);
@@ -83,7 +83,7 @@
             }
         }
         for id in leaving_gangs {
-            let Some(job) = book.jobs.get(&id) else {
+            let Some(job) = cache.jobs.get(&id) else {
                 continue;
             };
             for (index, placement) in job.present_placements() {
@@ -91,7 +91,7 @@
                 if views.contains_key(&placement.machine) {
                     preempting.insert(task.clone(), placement.attempt);
                     wanted.push((task, placement));
-                } else if let Some((_, kept)) = book.block_of(&placement.machine) {
+                } else if let Some((_, kept)) = cache.block_of(&placement.machine) {
                     let there = mates.entry(kept.value.node.clone()).or_default();
                     there.push(task);
                 }
@@ -113,8 +113,8 @@
                 continue;
             }
             view.stops_sent.insert(task.clone(), now);
-            let job = book.jobs.get(&task.job);
-            let cancelled = book.is_cancelled(&task.job);
+            let job = cache.jobs.get(&task.job);
+            let cancelled = cache.is_cancelled(&task.job);
             let spec = job.and_then(|job| job.spec()).map(|spec| &**spec);
             stops
                 .entry(placement.machine.clone())
--- a/src/coordination/leader/blocks.rs
+++ b/src/coordination/leader/blocks.rs
@@ -5,8 +5,8 @@
 //! conditional on both records.
 //!
 //! Safety rests on one rule: what is taken away takes effect by a commit, and
-//! only what the book shows after that commit is given to others. Placements
-//! are conditional on their seat's and block's records, so once the book has
+//! only what the cache shows after that commit is given to others. Placements
+//! are conditional on their seat's and block's records, so once the cache has
 //! passed these records' revisions, a seat's use of a team's limit can only grow
 //! up to the budget in it. At any time the sum over seats of max(budget, use),
 //! plus the use on machines of no seat, stays within the limit.
@@ -14,7 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::storage::{
-    BlockId, Book, Incarnation, MachineId, NodeName, Quota, Revision, Team, TeamName, ZoneName,
+    BlockId, Incarnation, MachineId, NodeName, Quota, Revision, StateCache, Team, TeamName,
+    ZoneName,
     client::Transaction,
     keys,
     records::{BlockRecord, MachineUse, SeatRecord},
@@ -24,7 +25,7 @@
 /// token rises when one of them is marked or joins.
 pub const BLOCK_SIZE: usize = 48;
 
-/// What the plan takes into account beside the book.
+/// What the plan takes into account beside the cache.
 #[derive(Debug, Default)]
 pub struct Hints {
     /// Blocks to be leased to another controller, which are frozen first.
@@ -64,7 +65,7 @@
 const SPREAD: f64 = 0.1;
 
 struct Plan<'a> {
-    book: &'a Book,
+    cache: &'a StateCache,
     seats: BTreeMap<NodeName, SeatRecord>,
     blocks: BTreeMap<BlockId, BlockRecord>,
     alive: Vec<NodeName>,
@@ -91,17 +92,23 @@
     }
 
     /// The commit that carries it out, on condition that the records are still
-    /// those of the book.
-    pub fn transaction(&self, book: &Book) -> Transaction {
+    /// those of the cache.
+    pub fn transaction(&self, cache: &StateCache) -> Transaction {
         let mut transaction = Transaction::default();
         for (node, seat) in &self.seats {
-            let mark = book.seats.get(node).map_or(Revision(0), |kept| kept.mark);
+            let mark = cache
+                .seats
+                .get(node)
+                .map_or(Revision(0), |kept| kept.revision);
             transaction = transaction
                 .require(keys::seat(node), mark)
                 .set(keys::seat(node), seat);
         }
         for (id, block) in &self.blocks {
-            let mark = book.blocks.get(id).map_or(Revision(0), |kept| kept.mark);
+            let mark = cache
+                .blocks
+                .get(id)
+                .map_or(Revision(0), |kept| kept.revision);
             transaction = transaction
                 .require(keys::block(*id), mark)
                 .set(keys::block(*id), block);
@@ -111,30 +118,36 @@
 }
 
 /// What changes in this pass; empty when all is well.
-pub fn plan(book: &Book, teams: &[Team], hints: &Hints) -> Changed {
-    // Every record must be one that the book has fully caught up with.
-    if book.seats.values().any(|kept| kept.mark > book.revision)
-        || book.blocks.values().any(|kept| kept.mark > book.revision)
+pub fn plan(cache: &StateCache, teams: &[Team], hints: &Hints) -> Changed {
+    // Every record must be one that the cache has fully caught up with.
+    if cache
+        .seats
+        .values()
+        .any(|kept| kept.revision > cache.revision)
+        || cache
+            .blocks
+            .values()
+            .any(|kept| kept.revision > cache.revision)
     {
         return Changed::default();
     }
     let mut load = BTreeMap::new();
-    for kept in book.blocks.values() {
+    for kept in cache.blocks.values() {
         *load.entry(kept.value.node.clone()).or_default() += kept.value.machines.len();
     }
-    let seats = book
+    let seats = cache
         .seats
         .iter()
         .map(|(node, kept)| (node.clone(), kept.value.clone()));
-    let blocks = book
+    let blocks = cache
         .blocks
         .iter()
         .map(|(id, kept)| (*id, kept.value.clone()));
     let mut plan = Plan {
-        book,
+        cache,
         seats: seats.collect(),
         blocks: blocks.collect(),
-        alive: book.nodes.keys().cloned().collect(),
+        alive: cache.nodes.keys().cloned().collect(),
         shunned: &hints.shunned,
         touched: BTreeSet::new(),
         reseated: BTreeSet::new(),
@@ -178,13 +191,13 @@
     }
 
     fn incarnation(&self, node: &NodeName) -> Option<Incarnation> {
-        Some(self.book.nodes.get(node)?.value.incarnation)
+        Some(self.cache.nodes.get(node)?.value.incarnation)
     }
 
     /// Each living process holds its node's seat; a dead one holds nothing, and
     /// its budgets are void. This alone fences all placements of the old process.
     fn seat_holders(&mut self) {
-        for (node, kept) in &self.book.nodes {
+        for (node, kept) in &self.cache.nodes {
             let holder = Some(kept.value.incarnation);
             let known = self.seats.get(node);
             if known.is_none_or(|seat| seat.holder != holder) && self.reseat(node) {
@@ -194,7 +207,7 @@
         let dead = self
             .seats
             .iter()
-            .filter(|(node, seat)| !self.book.nodes.contains_key(*node) && seat.holder.is_some());
+            .filter(|(node, seat)| !self.cache.nodes.contains_key(*node) && seat.holder.is_some());
         let dead: Vec<NodeName> = dead.map(|(node, _)| node.clone()).collect();
         for node in dead {
             if self.reseat(&node)
@@ -212,7 +225,7 @@
         self.alive
             .iter()
             .filter_map(|node| {
-                let near = self.book.nodes.get(node)?.value.zone == *zone;
+                let near = self.cache.nodes.get(node)?.value.zone == *zone;
                 let load = self.load.get(node).copied().unwrap_or(0);
                 Some((self.shunned.contains(node), !near, load, node))
             })
@@ -236,20 +249,20 @@
         }
     }
 
-    /// Blocks whose holder's seat is fenced, as the book shows: a restarted
+    /// Blocks whose holder's seat is fenced, as the cache shows: a restarted
     /// process gets its node's blocks with new tokens, those of a dead one go to
     /// living controllers.
     fn lease_unheld(&mut self) {
         let unheld: Vec<(BlockId, NodeName)> = self
-            .book
+            .cache
             .blocks
             .iter()
-            .filter(|(_, kept)| !self.book.is_seated(&kept.value))
+            .filter(|(_, kept)| !self.cache.is_seated(&kept.value))
             .map(|(id, kept)| (*id, kept.value.node.clone()))
             .collect();
         for (id, node) in unheld {
             let seated = self
-                .book
+                .cache
                 .seats
                 .get(&node)
                 .and_then(|seat| seat.value.holder);
@@ -278,7 +291,7 @@
         let machine = block
             .machines
             .keys()
-            .find_map(|machine| self.book.machines.get(machine))?;
+            .find_map(|machine| self.cache.machines.get(machine))?;
         Some(machine.zone.clone())
     }
 
@@ -288,7 +301,7 @@
     fn clear_gone(&mut self) {
         let mut gone: Vec<BlockId> = Vec::new();
         for (id, block) in &self.blocks {
-            let known = |machine| self.book.machines.contains_key(machine);
+            let known = |machine| self.cache.machines.contains_key(machine);
             let count = block.machines.keys().filter(|m| !known(*m)).count();
             let changes = self.touched.contains(id);
             if count > block.machines.len() / 4 || (count > 0 && changes) {
@@ -301,19 +314,19 @@
             {
                 block
                     .machines
-                    .retain(|machine, _| self.book.machines.contains_key(machine));
+                    .retain(|machine, _| self.cache.machines.contains_key(machine));
             }
         }
     }
 
     /// Blocks leased to another living controller: frozen first, and moved when
-    /// the book shows them so, since only then what is on them is known for good.
+    /// the cache shows them so, since only then what is on them is known for good.
     fn move_blocks(&mut self, hints: &Hints) {
-        for (id, kept) in &self.book.blocks {
+        for (id, kept) in &self.cache.blocks {
             let target = hints.moving.get(id).filter(|target| {
                 **target != kept.value.node
                     && self.alive.contains(target)
-                    && self.book.is_seated(&kept.value)
+                    && self.cache.is_seated(&kept.value)
             });
             match target {
                 Some(target) if kept.value.frozen => {
@@ -341,7 +354,7 @@
     /// The use leaves with machines, so must the budget for it: the old holder
     /// could use it a second time.
     fn move_use(&mut self, from: &NodeName, machines: &[MachineId]) {
-        let moved = self.book.quota_used(machines.iter());
+        let moved = self.cache.quota_used(machines.iter());
         if let Some(seat) = self.seats.get_mut(from) {
             for (team, used) in moved {
                 if let Some(budget) = seat.budgets.get_mut(&team) {
@@ -352,22 +365,22 @@
     }
 
     /// Single machines that their holder has lost go to the one that hears them,
-    /// once the book shows them frozen.
+    /// once the cache shows them frozen.
     fn rescue_stranded(&mut self, hints: &Hints) {
         for (machine, target) in &hints.stranded {
-            let Some((id, kept)) = self.book.block_of(machine) else {
+            let Some((id, kept)) = self.cache.block_of(machine) else {
                 continue;
             };
             let frozen = kept.value.machines.get(machine) == Some(&MachineUse::Frozen);
             if !frozen
                 || kept.value.node == *target
                 || !self.alive.contains(target)
-                || !self.book.is_seated(&kept.value)
-                || !self.book.machines.contains_key(machine)
+                || !self.cache.is_seated(&kept.value)
+                || !self.cache.machines.contains_key(machine)
             {
                 continue;
             }
-            let Some(zone) = self.book.machines.get(machine).map(|m| m.zone.clone()) else {
+            let Some(zone) = self.cache.machines.get(machine).map(|m| m.zone.clone()) else {
                 continue;
             };
             let Some(new) = self.block_with_place(target, &zone) else {
@@ -423,8 +436,8 @@
     }
 
     fn assign_new(&mut self) {
-        for (machine, record) in &self.book.machines {
-            if self.book.block_of(machine).is_some() {
+        for (machine, record) in &self.cache.machines {
+            if self.cache.block_of(machine).is_some() {
                 continue;
             }
             let Some(home) = self.home(&record.zone) else {
@@ -450,7 +463,7 @@
                 let wanted = if stranded || hints.returning.contains(machine) {
                     MachineUse::Frozen
                 } else if hints.marked.contains(machine)
-                    && self.book.on_machine.contains_key(machine)
+                    && self.cache.on_machine.contains_key(machine)
                 {
                     // One that is idle gets no more offers, which costs no change.
                     MachineUse::Marked
@@ -475,19 +488,19 @@
     /// budget from others for the next pass.
     fn share_budgets(&mut self, teams: &[Team], hints: &Hints) {
         // Use counts where machines are after this pass; budgets not yet taken
-        // back count as the book has them.
+        // back count as the cache has them.
         let mut used: BTreeMap<NodeName, BTreeMap<TeamName, Quota>> = BTreeMap::new();
         let mut in_blocks: BTreeSet<&MachineId> = BTreeSet::new();
         for block in self.blocks.values() {
             in_blocks.extend(block.machines.keys());
             let sums = used.entry(block.node.clone()).or_default();
-            for (team, quota) in self.book.quota_used(block.machines.keys()) {
+            for (team, quota) in self.cache.quota_used(block.machines.keys()) {
                 let sum = sums.entry(team).or_default();
                 *sum = sum.plus(&quota);
             }
         }
-        let outside = self.book.quota_used(
-            self.book
+        let outside = self.cache.quota_used(
+            self.cache
                 .on_machine
                 .keys()
                 .filter(|id| !in_blocks.contains(id)),
@@ -511,9 +524,9 @@
             let mut bound = outside.get(&team.name).copied().unwrap_or_default();
             let nodes: BTreeSet<&NodeName> = self.seats.keys().chain(used.keys()).collect();
             for node in nodes {
-                // What the holder may still act on is the record of the book.
+                // What the holder may still act on is the record of the cache.
                 let budget = self
-                    .book
+                    .cache
                     .seats
                     .get(node)
                     .and_then(|kept| kept.value.budgets.get(&team.name))
@@ -618,17 +631,17 @@
     }
 
     fn changed(self) -> Changed {
-        let book = self.book;
+        let cache = self.cache;
         Changed {
             seats: self
                 .seats
                 .into_iter()
-                .filter(|(node, seat)| book.seats.get(node).is_none_or(|kept| kept.value != *seat))
+                .filter(|(node, seat)| cache.seats.get(node).is_none_or(|kept| kept.value != *seat))
                 .collect(),
             blocks: self
                 .blocks
                 .into_iter()
-                .filter(|(id, block)| book.blocks.get(id).is_none_or(|kept| kept.value != *block))
+                .filter(|(id, block)| cache.blocks.get(id).is_none_or(|kept| kept.value != *block))
                 .collect(),
         }
     }
--- a/src/coordination/leader/blocks/tests.rs
+++ b/src/coordination/leader/blocks/tests.rs
@@ -20,19 +20,21 @@
 }
 
 /// The node whose block holds the machine.
-fn holder_of(book: &Book, machine: &str) -> String {
-    let (_, kept) = book.block_of(&MachineId::new(machine)).expect("in a block");
-    assert!(book.is_seated(&kept.value));
+fn holder_of(cache: &StateCache, machine: &str) -> String {
+    let (_, kept) = cache
+        .block_of(&MachineId::new(machine))
+        .expect("in a block");
+    assert!(cache.is_seated(&kept.value));
     kept.value.node.to_string()
 }
 
 /// Two nodes; `n0` runs one task of four CPUs on vm-1.
-fn book() -> Book {
-    let mut book = Book::default();
+fn cache() -> StateCache {
+    let mut cache = StateCache::default();
     let mut mark = 0;
     let mut set = |key: &str, value| {
         mark += 1;
-        book.set(key, value, Revision(mark));
+        cache.set(key, value, Revision(mark));
     };
     for n in 0..2 {
         set(
@@ -56,30 +58,30 @@
         "run/job-1/0",
         json!({"p": {"0": {"a": 1, "m": "vm-1", "s": 1}}}),
     );
-    book.advance(Revision(100));
-    book
+    cache.advance(Revision(100));
+    cache
 }
 
-/// Puts a plan into the book as its commit would.
-fn carry_out(book: &mut Book, plan: &Changed) {
-    let mark = Revision(book.revision.0 + 1);
-    for op in plan.transaction(book).ops {
+/// Puts a plan into the cache as its commit would.
+fn carry_out(cache: &mut StateCache, plan: &Changed) {
+    let mark = Revision(cache.revision.0 + 1);
+    for op in plan.transaction(cache).ops {
         if let crate::storage::client::Op::Set { key, value, .. } = op {
-            book.set(&key, value, mark);
+            cache.set(&key, value, mark);
         }
     }
-    book.advance(mark);
+    cache.advance(mark);
 }
 
-fn settle(book: &mut Book, teams: &[Team], hints: &Hints) -> usize {
+fn settle(cache: &mut StateCache, teams: &[Team], hints: &Hints) -> usize {
     for pass in 0..20 {
-        let next = plan(book, teams, hints);
+        let next = plan(cache, teams, hints);
         if next.is_empty() {
             return pass;
         }
-        carry_out(book, &next);
-        let by_node = book.quota_by_node();
-        let bound: f64 = book
+        carry_out(cache, &next);
+        let by_node = cache.quota_by_node();
+        let bound: f64 = cache
             .seats
             .iter()
             .map(|(node, kept)| {
@@ -94,10 +96,10 @@
 
 #[test]
 fn machines_go_to_their_zone_and_limits_are_shared() {
-    let mut book = book();
-    settle(&mut book, &[team(24.0)], &Hints::default());
-    assert_eq!(holder_of(&book, "vm-1"), "n0");
-    let sum: f64 = book.seats.values().map(|kept| cpus(&kept.value)).sum();
+    let mut cache = cache();
+    settle(&mut cache, &[team(24.0)], &Hints::default());
+    assert_eq!(holder_of(&cache, "vm-1"), "n0");
+    let sum: f64 = cache.seats.values().map(|kept| cpus(&kept.value)).sum();
     assert!(sum > 24.0 * (1.0 - SPREAD) && sum < 24.001, "{sum}");
 }
 
@@ -105,43 +107,46 @@
 /// disturbing every machine when some come.
 #[test]
 fn many_machines_stand_in_blocks_of_bounded_size() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(24.0)];
-    settle(&mut book, &teams, &Hints::default());
-    let before = book.blocks.clone();
+    settle(&mut cache, &teams, &Hints::default());
+    let before = cache.blocks.clone();
     let machines: serde_json::Map<String, serde_json::Value> = (0..500)
         .map(|n| (format!("vm-{n:06}"), json!("10.100.100.100:65535")))
         .collect();
-    book.set(
+    cache.set(
         "machine/r-2",
         json!({"t": "x", "z": "z1", "s": false, "at": 0, "m": machines}),
         Revision(200),
     );
-    book.advance(Revision(200));
-    settle(&mut book, &teams, &Hints::default());
-    assert_eq!(book.blocks.len(), 1 + 500_usize.div_ceil(BLOCK_SIZE));
-    for (id, kept) in &book.blocks {
+    cache.advance(Revision(200));
+    settle(&mut cache, &teams, &Hints::default());
+    assert_eq!(cache.blocks.len(), 1 + 500_usize.div_ceil(BLOCK_SIZE));
+    for (id, kept) in &cache.blocks {
         assert!(kept.value.machines.len() <= BLOCK_SIZE);
         let text = serde_json::to_string(&kept.value).expect("plain data");
         assert!(text.len() < 2048, "{}", text.len());
         if let Some(old) = before.get(id) {
-            assert_eq!(old.mark, kept.mark, "a block of another zone is left alone");
+            assert_eq!(
+                old.revision, kept.revision,
+                "a block of another zone is left alone"
+            );
         }
     }
-    assert_eq!(holder_of(&book, "vm-000400"), "n1");
+    assert_eq!(holder_of(&cache, "vm-000400"), "n1");
     // Nobody but n0 is left: it gets all of them, a few blocks a commit.
-    book.drop_key("node/n1", Revision(5000));
-    book.advance(Revision(5000));
-    settle(&mut book, &teams, &Hints::default());
-    assert_eq!(holder_of(&book, "vm-000400"), "n0");
+    cache.drop_key("node/n1", Revision(5000));
+    cache.advance(Revision(5000));
+    settle(&mut cache, &teams, &Hints::default());
+    assert_eq!(holder_of(&cache, "vm-000400"), "n0");
 }
 
 #[test]
 fn a_shortage_takes_two_passes_and_never_exceeds_the_limit() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(24.0)];
-    settle(&mut book, &teams, &Hints::default());
-    let before = cpus(&book.seats["n0"].value);
+    settle(&mut cache, &teams, &Hints::default());
+    let before = cpus(&cache.seats["n0"].value);
     let mut hints = Hints::default();
     hints.short.insert(
         (NodeName::new("n0"), TeamName::new("team")),
@@ -150,111 +155,111 @@
             gpus: 0.0,
         },
     );
-    let first = plan(&book, &teams, &hints);
+    let first = plan(&cache, &teams, &hints);
     assert!(
         !first.seats.contains_key("n0"),
         "nothing is given before it is taken"
     );
-    carry_out(&mut book, &first);
-    let second = plan(&book, &teams, &hints);
-    carry_out(&mut book, &second);
-    assert!(cpus(&book.seats["n0"].value) >= before + 6.0 - 0.001);
+    carry_out(&mut cache, &first);
+    let second = plan(&cache, &teams, &hints);
+    carry_out(&mut cache, &second);
+    assert!(cpus(&cache.seats["n0"].value) >= before + 6.0 - 0.001);
 }
 
 #[test]
 fn a_dead_holders_blocks_are_fenced_before_they_are_given_on() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(24.0)];
-    settle(&mut book, &teams, &Hints::default());
-    book.drop_key("node/n0", Revision(1000));
-    book.advance(Revision(1000));
-    let first = plan(&book, &teams, &Hints::default());
+    settle(&mut cache, &teams, &Hints::default());
+    cache.drop_key("node/n0", Revision(1000));
+    cache.advance(Revision(1000));
+    let first = plan(&cache, &teams, &Hints::default());
     assert!(first.seats["n0"].holder.is_none());
     assert!(
         first.blocks.is_empty() && !first.seats.contains_key("n1"),
         "not before the fence is committed"
     );
-    carry_out(&mut book, &first);
-    settle(&mut book, &teams, &Hints::default());
-    assert_eq!(holder_of(&book, "vm-1"), "n1");
+    carry_out(&mut cache, &first);
+    settle(&mut cache, &teams, &Hints::default());
+    assert_eq!(holder_of(&cache, "vm-1"), "n1");
 }
 
 #[test]
 fn a_restarted_process_is_a_new_holder_with_new_tokens() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(24.0)];
-    settle(&mut book, &teams, &Hints::default());
-    let before = book.blocks[&BlockId(1)].mark;
-    book.set(
+    settle(&mut cache, &teams, &Hints::default());
+    let before = cache.blocks[&BlockId(1)].revision;
+    cache.set(
         "node/n0",
         json!({"incarnation": 99, "zone": "z0"}),
         Revision(1000),
     );
-    book.advance(Revision(1000));
-    let next = plan(&book, &teams, &Hints::default());
+    cache.advance(Revision(1000));
+    let next = plan(&cache, &teams, &Hints::default());
     assert_eq!(next.seats["n0"].holder, Some(Incarnation(99)));
     assert!(next.blocks.is_empty(), "not before the old one is fenced");
-    carry_out(&mut book, &next);
-    settle(&mut book, &teams, &Hints::default());
-    assert_eq!(holder_of(&book, "vm-1"), "n0");
-    assert_eq!(book.blocks[&BlockId(1)].value.holder, Incarnation(99));
-    assert!(book.blocks[&BlockId(1)].mark > before);
+    carry_out(&mut cache, &next);
+    settle(&mut cache, &teams, &Hints::default());
+    assert_eq!(holder_of(&cache, "vm-1"), "n0");
+    assert_eq!(cache.blocks[&BlockId(1)].value.holder, Incarnation(99));
+    assert!(cache.blocks[&BlockId(1)].revision > before);
 }
 
 #[test]
 fn nothing_is_planned_on_a_book_that_lags_behind() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(24.0)];
-    let next = plan(&book, &teams, &Hints::default());
+    let next = plan(&cache, &teams, &Hints::default());
     for (node, seat) in &next.seats {
         let value = serde_json::to_value(seat).expect("plain data");
-        book.set(&keys::seat(node), value, Revision(500));
+        cache.set(&keys::seat(node), value, Revision(500));
     }
-    book.drop_key("node/n0", Revision(600));
-    assert!(plan(&book, &teams, &Hints::default()).is_empty());
+    cache.drop_key("node/n0", Revision(600));
+    assert!(plan(&cache, &teams, &Hints::default()).is_empty());
 }
 
 /// Guards against a quota used twice: by the task that moved with its
 /// machine, and by another in the old holder's budget for it.
 #[test]
 fn a_stranded_machine_takes_its_budget_along() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(8.0)];
-    settle(&mut book, &teams, &Hints::default());
+    settle(&mut cache, &teams, &Hints::default());
     let mut hints = Hints::default();
     hints
         .stranded
         .insert(MachineId::new("vm-1"), NodeName::new("n1"));
-    settle(&mut book, &teams, &hints);
-    assert_eq!(holder_of(&book, "vm-1"), "n1");
+    settle(&mut cache, &teams, &hints);
+    assert_eq!(holder_of(&cache, "vm-1"), "n1");
 }
 
 /// As above, for a whole block that goes back to its zone's controller.
 #[test]
 fn a_block_moves_frozen_and_takes_its_budget_along() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(8.0)];
-    settle(&mut book, &teams, &Hints::default());
+    settle(&mut cache, &teams, &Hints::default());
     let mut hints = Hints::default();
     hints.moving.insert(BlockId(1), NodeName::new("n1"));
-    let next = plan(&book, &teams, &hints);
+    let next = plan(&cache, &teams, &hints);
     assert!(next.blocks[&BlockId(1)].frozen);
     assert_eq!(next.blocks[&BlockId(1)].node.as_str(), "n0");
-    settle(&mut book, &teams, &hints);
-    assert_eq!(holder_of(&book, "vm-1"), "n1");
-    assert!(!book.blocks[&BlockId(1)].value.frozen);
+    settle(&mut cache, &teams, &hints);
+    assert_eq!(holder_of(&cache, "vm-1"), "n1");
+    assert!(!cache.blocks[&BlockId(1)].value.frozen);
 }
 
 #[test]
 fn a_block_that_is_to_stay_after_all_is_thawed() {
-    let mut book = book();
+    let mut cache = cache();
     let teams = [team(24.0)];
-    settle(&mut book, &teams, &Hints::default());
+    settle(&mut cache, &teams, &Hints::default());
     let mut hints = Hints::default();
     hints.moving.insert(BlockId(1), NodeName::new("n1"));
-    let next = plan(&book, &teams, &hints);
-    carry_out(&mut book, &next);
-    settle(&mut book, &teams, &Hints::default());
-    assert_eq!(holder_of(&book, "vm-1"), "n0");
-    assert!(!book.blocks[&BlockId(1)].value.frozen);
+    let next = plan(&cache, &teams, &hints);
+    carry_out(&mut cache, &next);
+    settle(&mut cache, &teams, &Hints::default());
+    assert_eq!(holder_of(&cache, "vm-1"), "n0");
+    assert!(!cache.blocks[&BlockId(1)].value.frozen);
 }
--- a/src/coordination/leader/fleet/faults.rs
+++ b/src/coordination/leader/fleet/faults.rs
@@ -17,7 +17,7 @@
         node::{Node, lock},
         ports::{PeerAnswer, PeerCall},
     },
-    storage::{BlockId, Book, MachineId, NodeName, TaskId, ZoneName},
+    storage::{BlockId, MachineId, NodeName, StateCache, TaskId, ZoneName},
 };
 
 /// A machine that seems to be gone.
@@ -129,7 +129,7 @@
     /// marked ones whose time has come. Returns those that seem to be gone.
     pub(super) fn find_faulty(
         self: &Arc<Self>,
-        book: &Book,
+        cache: &StateCache,
         state: &mut LeaderState,
         now: Instant,
     ) -> Vec<Suspect> {
@@ -147,19 +147,19 @@
         let mut found: Vec<(MachineId, Reason)> = Vec::new();
         state
             .returning
-            .retain(|id, _| book.machines.contains_key(id));
-        for kept in book.blocks.values() {
+            .retain(|id, _| cache.machines.contains_key(id));
+        for kept in cache.blocks.values() {
             let node = &kept.value.node;
             for id in kept.value.machines.keys() {
-                let Some(record) = book.machines.get(id) else {
+                let Some(record) = cache.machines.get(id) else {
                     continue;
                 };
                 let age = Duration::from_millis(now_ms.saturating_sub(record.rented_ms));
                 if !record.spot {
                     zones.entry(&record.zone).or_default().0 += 1;
                 }
-                if !state.is_up(book, id) {
-                    let boot = book
+                if !state.is_up(cache, id) {
+                    let boot = cache
                         .machine_type(&record.kind)
                         .map_or(Duration::from_secs(60), |kind| kind.boot);
                     if age > boot.mul_f64(2.5) + Duration::from_secs(15) {
@@ -224,7 +224,7 @@
                         deaf.push(id.clone());
                     }
                 }
-                let idle = !book.on_machine.contains_key(id);
+                let idle = !cache.on_machine.contains_key(id);
                 if state.fleet.marked.contains(id)
                     && idle
                     && paid.left(age) < Duration::from_secs(3)
@@ -238,11 +238,11 @@
         // go on working until their leases end; only spot machines are taken in
         // numbers. They cross the threshold one after the other, so all that
         // cannot be reached count.
-        let ordinary = book.machines.values().filter(|record| !record.spot);
+        let ordinary = cache.machines.values().filter(|record| !record.spot);
         let threshold = 2.max(ordinary.count() / 4);
         let many = unreachable > threshold;
         // The same holds for machines that hear nothing of us.
-        if deaf.len() <= 2.max(book.machines.len() / 10) {
+        if deaf.len() <= 2.max(cache.machines.len() / 10) {
             found.extend(deaf.into_iter().map(|id| (id, Reason::Deaf)));
         }
         let patience = self.config.worker_lease + self.config.worker_report;
@@ -259,7 +259,7 @@
                 && state.fleet.verifying.len() < VERIFIED_AT_ONCE
             {
                 state.fleet.verifying.insert(id.clone(), now + FOUND_UP);
-                let zone = book.machines.get(&id).map(|record| &record.zone);
+                let zone = cache.machines.get(&id).map(|record| &record.zone);
                 let (all, dark) = zone
                     .and_then(|zone| zones.get(zone))
                     .copied()
@@ -273,7 +273,7 @@
                     }
                     Vec::new()
                 } else {
-                    self.neighbours(book, state, &id, zone)
+                    self.neighbours(cache, state, &id, zone)
                 };
                 to_verify.push(Suspect {
                     machine: id,
@@ -283,7 +283,7 @@
             }
         }
         self.look_from_others(state, to_reach, now);
-        state.stranded = Self::move_lost_blocks(book, state, stranded, now);
+        state.stranded = Self::move_lost_blocks(cache, state, stranded, now);
         state.fleet.refusing = refusing;
         for (id, reason) in found {
             if !state.returning.contains_key(&id) {
@@ -302,7 +302,7 @@
         state
             .fleet
             .marked
-            .retain(|id| book.machines.contains_key(id));
+            .retain(|id| cache.machines.contains_key(id));
         to_verify
     }
 
@@ -311,7 +311,7 @@
     /// changes of its block, and each of these a new token for all of its machines.
     /// Returns the machines that are to move by themselves.
     fn move_lost_blocks(
-        book: &Book,
+        cache: &StateCache,
         state: &mut LeaderState,
         mut stranded: BTreeMap<MachineId, NodeName>,
         now: Instant,
@@ -323,7 +323,7 @@
         if stranded.is_empty() {
             return stranded;
         }
-        for (id, kept) in &book.blocks {
+        for (id, kept) in &cache.blocks {
             let block = &kept.value;
             let mut targets: BTreeMap<&NodeName, usize> = BTreeMap::new();
             for machine in block.machines.keys() {
@@ -399,12 +399,13 @@
     /// not among them: several may hang at once, which would look like a cut.
     fn neighbours(
         &self,
-        book: &Book,
+        cache: &StateCache,
         state: &LeaderState,
         machine: &MachineId,
         zone: Option<&ZoneName>,
     ) -> Vec<String> {
-        book.machines
+        cache
+            .machines
             .iter()
             .filter(|(other, record)| {
                 *other != machine && !record.spot && Some(&record.zone) == zone
@@ -417,7 +418,7 @@
 
     /// Blocks go to a controller of their own zone, and evenly. Their tasks do
     /// not notice; new ones wait for a moment.
-    pub(super) fn rebalance(&self, book: &Book, state: &mut LeaderState, now: Instant) {
+    pub(super) fn rebalance(&self, cache: &StateCache, state: &mut LeaderState, now: Instant) {
         if state.moving.len() >= MOVES || !state.unplaced.is_empty() {
             return;
         }
@@ -426,28 +427,28 @@
                 told.at.elapsed() < super::super::STATUS_LIFE
                     && told.since.elapsed() > LIVED
                     && Some(told.incarnation)
-                        == book.nodes.get(node).map(|kept| kept.value.incarnation)
+                        == cache.nodes.get(node).map(|kept| kept.value.incarnation)
             })
         };
-        let load = |node: &NodeName| book.machines_of(node).count();
+        let load = |node: &NodeName| cache.machines_of(node).count();
         let mut best: Option<(usize, BlockId, NodeName)> = None;
-        for (id, kept) in &book.blocks {
+        for (id, kept) in &cache.blocks {
             let block = &kept.value;
             let size = block.machines.len();
-            if size == 0 || state.moving.contains_key(id) || !book.is_seated(block) {
+            if size == 0 || state.moving.contains_key(id) || !cache.is_seated(block) {
                 continue;
             }
             let Some(zone) = block
                 .machines
                 .keys()
-                .find_map(|machine| book.machines.get(machine))
+                .find_map(|machine| cache.machines.get(machine))
                 .map(|record| &record.zone)
             else {
                 continue;
             };
-            let near = book.nodes.get(&block.node).map(|kept| &kept.value.zone) == Some(zone);
+            let near = cache.nodes.get(&block.node).map(|kept| &kept.value.zone) == Some(zone);
             let count = load(&block.node);
-            for (other, record) in &book.nodes {
+            for (other, record) in &cache.nodes {
                 if *other == block.node
                     || !settled(other)
                     || state.fleet.shunned.contains_key(other)
@@ -473,13 +474,14 @@
     pub(super) async fn empty_suspects(&self) {
         let mut orders: BTreeMap<NodeName, Vec<TaskId>> = BTreeMap::new();
         {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let state = lock(&self.leader);
             for (id, item) in &state.returning {
                 if item.reason != Reason::Suspect || item.since.elapsed() < EMPTY_AFTER {
                     continue;
                 }
-                if let (Some(load), Some((_, kept))) = (book.on_machine.get(id), book.block_of(id))
+                if let (Some(load), Some((_, kept))) =
+                    (cache.on_machine.get(id), cache.block_of(id))
                 {
                     orders
                         .entry(kept.value.node.clone())
--- a/src/coordination/leader/fleet/lists.rs
+++ b/src/coordination/leader/fleet/lists.rs
@@ -22,7 +22,7 @@
     pub(super) async fn poll_catalog(&self, budget: &Budget) {
         {
             let state = lock(&self.leader);
-            let known = self.store.book().catalog.is_some();
+            let known = self.store.cache().catalog.is_some();
             let every = Duration::from_secs(if known { 30 } else { 1 });
             if state
                 .fleet
@@ -43,10 +43,10 @@
         };
         let record = CatalogRecord { types };
         let mark = {
-            let book = self.store.book();
-            match &book.catalog {
+            let cache = self.store.cache();
+            match &cache.catalog {
                 Some(kept) if kept.value == record => return,
-                Some(kept) => kept.mark,
+                Some(kept) => kept.revision,
                 None => Revision(0),
             }
         };
@@ -78,10 +78,10 @@
     }
 
     /// Machines that the cloud lists, or whose workers report, but that are not
-    /// in the book: rented by a request that was executed late, perhaps.
+    /// in the cache: rented by a request that was executed late, perhaps.
     pub(super) async fn compare_list(&self, list: Vec<ListedMachine>) {
         let adopt: Vec<RentalRecord> = {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.leader);
             let now = Instant::now();
             let lag = self.config.list_lag;
@@ -90,7 +90,7 @@
             let mut still = BTreeMap::new();
             state.fleet.listed = list.iter().map(|machine| machine.id.clone()).collect();
             for machine in list {
-                if book.machines.contains_key(&machine.id) {
+                if cache.machines.contains_key(&machine.id) {
                     if machine.stage == MachineStage::Failed
                         && !state.returning.contains_key(&machine.id)
                     {
@@ -128,10 +128,10 @@
                 .flat_map(|told| told.sightings.values().cloned())
                 .collect();
             for seen in sighted {
-                let known = book.machines.contains_key(&seen.machine)
+                let known = cache.machines.contains_key(&seen.machine)
                     || state.fleet.returned.contains_key(&seen.machine);
                 let listed = state.fleet.unknown.contains_key(&seen.machine);
-                if !known && listed && book.rents.is_empty() {
+                if !known && listed && cache.rents.is_empty() {
                     adopt.push((seen.machine, seen.kind, seen.zone, seen.spot));
                 }
             }
--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -17,7 +17,7 @@
         policy::{giveback, placement, suitability, zones::ZoneConstraint},
         zones,
     },
-    storage::{Book, JobKind, JobSpec, MachineId, MachineType, Priority, TypeName, ZoneName},
+    storage::{JobKind, JobSpec, MachineId, MachineType, Priority, StateCache, TypeName, ZoneName},
 };
 
 /// Where and what kind of machine.
@@ -60,7 +60,7 @@
 
 /// What renting looks at.
 pub struct Market<'a> {
-    pub book: &'a Book,
+    pub cache: &'a StateCache,
     pub refused: &'a BTreeMap<Place, Refusal>,
     pub now: Instant,
     pub k: f64,
@@ -112,7 +112,7 @@
         constraint: &ZoneConstraint,
         only_available: bool,
     ) -> Vec<(&MachineType, Place)> {
-        let types = self.book.catalog.iter().flat_map(|kept| &kept.value.types);
+        let types = self.cache.catalog.iter().flat_map(|kept| &kept.value.types);
         let types =
             types.filter(|kind| spec.per_task.fits_in(&kind.size) && spec.allows_type(&kind.name));
         let mut places = Vec::new();
@@ -135,7 +135,7 @@
 
     fn zones_by_size<'k>(&self, kind: &'k MachineType) -> Vec<&'k ZoneName> {
         let machines_in = |zone: &ZoneName| {
-            let machines = self.book.machines.values();
+            let machines = self.cache.machines.values();
             machines.filter(|machine| machine.zone == *zone).count()
         };
         let mut zones: Vec<&ZoneName> = kind.zones.iter().collect();
@@ -178,9 +178,9 @@
 
     /// What a job with waiting tasks needs.
     fn demand(&self, waiting: &Unplaced) -> Option<Demand> {
-        let job = self.book.jobs.get(&waiting.job)?;
+        let job = self.cache.jobs.get(&waiting.job)?;
         let spec = job.spec()?;
-        let constraint = zones::of_job(self.book, job);
+        let constraint = zones::of_job(self.cache, job);
         if spec.home.is_none() || job.present() > 0 {
             return Some(Demand {
                 spec: spec.clone(),
@@ -209,7 +209,7 @@
 
     /// The price of the cheapest machine that the job may run on, to be had or not.
     fn least_rate(&self, spec: &JobSpec) -> f64 {
-        let types = self.book.catalog.iter().flat_map(|kept| &kept.value.types);
+        let types = self.cache.catalog.iter().flat_map(|kept| &kept.value.types);
         types
             .filter(|kind| spec.allows_type(&kind.name) && spec.per_task.fits_in(&kind.size))
             .map(|kind| {
@@ -244,7 +244,7 @@
                 continue;
             }
             for Suited { pool, tasks } in self.suited(spec, left, constraint, true) {
-                let Some(kind) = self.book.machine_type(&pool.kind) else {
+                let Some(kind) = self.cache.machine_type(&pool.kind) else {
                     continue;
                 };
                 let per = spec.per_task.count_in(&kind.size).max(1);
@@ -272,7 +272,7 @@
         if let Some(zone) = &pool.zone {
             return vec![(zone.clone(), count)];
         }
-        let Some(kind) = self.book.machine_type(&pool.kind) else {
+        let Some(kind) = self.cache.machine_type(&pool.kind) else {
             return Vec::new();
         };
         let mut zones: Vec<(u32, &ZoneName, u32)> = kind
@@ -280,7 +280,7 @@
             .iter()
             .filter(|zone| self.available(&(pool.kind.clone(), (*zone).clone(), pool.spot)))
             .map(|zone| {
-                let there = self.book.machines.values();
+                let there = self.cache.machines.values();
                 let there = there.filter(|record| record.zone == *zone).count();
                 (there as u32, zone, 0)
             })
@@ -347,15 +347,16 @@
 /// longer than usual is no longer counted on: a few take several times as long,
 /// or never come up, and what waits for them would wait as long.
 pub(super) fn booting_slots(
-    book: &Book,
+    cache: &StateCache,
     now_ms: u64,
     is_up: impl Fn(&MachineId) -> bool,
 ) -> Vec<placement::Slot> {
-    book.machines
+    cache
+        .machines
         .iter()
         .filter(|(id, _)| !is_up(id))
         .filter_map(|(_, record)| {
-            let kind = book.machine_type(&record.kind)?;
+            let kind = cache.machine_type(&record.kind)?;
             let age = Duration::from_millis(now_ms.saturating_sub(record.rented_ms));
             (age < kind.boot.mul_f64(USUAL_BOOT))
                 .then(|| empty_slot(kind, &record.zone, record.spot))
@@ -365,30 +366,31 @@
 
 /// Machines that are up, with their utilisation, and whether a service is on them.
 pub(super) fn used_machines(
-    book: &Book,
+    cache: &StateCache,
     period: giveback::PaidPeriods,
     now_ms: u64,
     is_up: impl Fn(&MachineId) -> bool,
 ) -> Vec<(giveback::Used<MachineId>, bool)> {
-    let kinds: Vec<&MachineType> = book
+    let kinds: Vec<&MachineType> = cache
         .catalog
         .iter()
         .flat_map(|kept| kept.value.types.iter())
         .collect();
-    book.machines
+    cache
+        .machines
         .iter()
         .filter(|(id, _)| is_up(id))
         .filter_map(|(id, record)| {
             let at = kinds.iter().position(|kind| kind.name == record.kind)?;
             let size = kinds[at].size;
-            let load = book.on_machine.get(id);
+            let load = cache.on_machine.get(id);
             let age = Duration::from_millis(now_ms.saturating_sub(record.rented_ms));
             let used = giveback::Used {
                 id: id.clone(),
                 kind: at,
                 utilisation: load.map_or(0.0, |load| load.taken.cpus) / size.cpus.max(0.001),
                 power: size.cpus,
-                block: book.block_of(id).map_or(0, |(block, _)| block.0),
+                block: cache.block_of(id).map_or(0, |(block, _)| block.0),
                 paid_left: period.left(age),
             };
             Some((used, load.is_some_and(|load| load.service)))
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -99,7 +99,7 @@
             if !self.store.is_loaded()
                 || !self.store.is_reachable()
                 || self.is_leader().is_none()
-                || lock(&self.leader).refence
+                || lock(&self.leader).must_void_pending
             {
                 continue;
             }
@@ -117,15 +117,15 @@
     /// Decides what to rent, mark, return and move, and writes the rents down.
     async fn judge_fleet(self: &Arc<Self>) {
         let (rents, silent) = {
-            let book = self.store.book();
-            if book.catalog.is_none() {
+            let cache = self.store.cache();
+            if cache.catalog.is_none() {
                 return;
             }
             let mut state = lock(&self.leader);
             let now = Instant::now();
-            let silent = self.find_faulty(&book, &mut state, now);
-            self.rebalance(&book, &mut state, now);
-            (self.judge_band(&book, &mut state, now), silent)
+            let silent = self.find_faulty(&cache, &mut state, now);
+            self.rebalance(&cache, &mut state, now);
+            (self.judge_band(&cache, &mut state, now), silent)
         };
         for suspect in silent {
             let node = self.clone();
--- a/src/coordination/leader/fleet/rents.rs
+++ b/src/coordination/leader/fleet/rents.rs
@@ -28,14 +28,14 @@
     /// is answered; also those that an earlier leader left.
     pub(super) fn send_rents(self: &Arc<Self>, budget: &Arc<Budget>) {
         let due: Vec<(RentName, RentRecord)> = {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.leader);
             let now = Instant::now();
             let fleet = &mut state.fleet;
             fleet
                 .next_try
-                .retain(|name, _| book.rents.contains_key(name));
-            let due: Vec<_> = book
+                .retain(|name, _| cache.rents.contains_key(name));
+            let due: Vec<_> = cache
                 .rents
                 .iter()
                 .filter(|(name, _)| {
@@ -85,9 +85,9 @@
             fleet.last_remedy = None;
         };
         let mark = {
-            let book = self.store.book();
-            match book.rents.get(name) {
-                Some(kept) => kept.mark,
+            let cache = self.store.cache();
+            match cache.rents.get(name) {
+                Some(kept) => kept.revision,
                 None => return,
             }
         };
@@ -145,7 +145,7 @@
     /// these are written together.
     pub(super) async fn write_addresses(&self) {
         let transaction = {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.leader);
             if state
                 .fleet
@@ -156,7 +156,7 @@
             }
             let mut changed: BTreeMap<&RentName, RentalRecord> = BTreeMap::new();
             for (id, held) in state.statuses.values().flat_map(|told| &told.held) {
-                let (Some(address), Some(record)) = (&held.address, book.machines.get(id)) else {
+                let (Some(address), Some(record)) = (&held.address, cache.machines.get(id)) else {
                     continue;
                 };
                 if record.address.as_ref() == Some(address) {
@@ -166,7 +166,7 @@
                 if full && !changed.contains_key(&record.rental) {
                     continue;
                 }
-                let Some(kept) = book.rentals.get(&record.rental) else {
+                let Some(kept) = cache.rentals.get(&record.rental) else {
                     continue;
                 };
                 changed
@@ -180,7 +180,7 @@
             }
             let mut transaction = Transaction::default();
             for (name, rental) in &changed {
-                let mark = book.rentals.get(*name).map_or(Revision(0), |k| k.mark);
+                let mark = cache.rentals.get(*name).map_or(Revision(0), |k| k.revision);
                 let key = keys::machines(name);
                 transaction = transaction.require(key.clone(), mark).set(key, rental);
             }
--- a/src/coordination/leader/fleet/returns.rs
+++ b/src/coordination/leader/fleet/returns.rs
@@ -15,7 +15,8 @@
         ports::PeerCall,
     },
     storage::{
-        Book, JobKind, MachineId, NodeName, RentName, Resources, Revision, TaskId, Transaction,
+        JobKind, MachineId, NodeName, RentName, Resources, Revision, StateCache, TaskId,
+        Transaction,
         budget::{Budget, Urgency},
         chance, keys,
         records::{MachineUse, RentalRecord},
@@ -35,7 +36,7 @@
     /// Whether the replicas on a machine would fit on the others.
     pub(super) fn can_rehouse(
         &self,
-        book: &Book,
+        cache: &StateCache,
         machine: &MachineId,
         except: &BTreeSet<MachineId>,
     ) -> bool {
@@ -47,13 +48,13 @@
             })
         };
         let mut slots = super::super::routing::open_machines(
-            book,
+            cache,
             &usable,
             self.config.now_ms(),
             self.config.tuning.paid,
         )
         .slots;
-        for placed in book
+        for placed in cache
             .on_machine
             .get(machine)
             .iter()
@@ -81,7 +82,7 @@
     pub(super) async fn move_replicas(&self) {
         let mut orders: BTreeMap<NodeName, Vec<TaskId>> = BTreeMap::new();
         {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.leader);
             if !state.unplaced.is_empty() {
                 return;
@@ -90,10 +91,10 @@
             except.extend(state.fleet.marked.iter().cloned());
             let mut stuck = Vec::new();
             for id in &state.fleet.marked {
-                let Some((_, kept)) = book.block_of(id) else {
+                let Some((_, kept)) = cache.block_of(id) else {
                     continue;
                 };
-                let Some(load) = book.on_machine.get(id) else {
+                let Some(load) = cache.on_machine.get(id) else {
                     continue;
                 };
                 let marked = kept.value.machines.get(id) == Some(&MachineUse::Marked);
@@ -106,7 +107,7 @@
                 if !marked || !all_services {
                     continue;
                 }
-                if !self.can_rehouse(&book, id, &except) {
+                if !self.can_rehouse(&cache, id, &except) {
                     // Its replicas have no room elsewhere any more.
                     stuck.push(id.clone());
                     if stuck.len() >= TRIED_AT_ONCE {
@@ -144,10 +145,10 @@
 
     /// A gang saves only if all of it is told to stop within `gang_peer_s`.
     fn add_mates(&self, orders: &mut BTreeMap<NodeName, Vec<TaskId>>) {
-        let book = self.store.book();
+        let cache = self.store.cache();
         let stopped: Vec<TaskId> = orders.values().flatten().cloned().collect();
         for task in stopped {
-            let Some(job) = book.jobs.get(&task.job) else {
+            let Some(job) = cache.jobs.get(&task.job) else {
                 continue;
             };
             if job.spec().is_none_or(|spec| spec.kind != JobKind::Gang) {
@@ -155,7 +156,7 @@
             }
             for (index, placement) in job.present_placements() {
                 let mate = TaskId::new(task.job.clone(), index);
-                if let Some((_, kept)) = book.block_of(&placement.machine) {
+                if let Some((_, kept)) = cache.block_of(&placement.machine) {
                     let tasks = orders.entry(kept.value.node.clone()).or_default();
                     if !tasks.contains(&mate) {
                         tasks.push(mate);
@@ -167,7 +168,7 @@
 
     pub(super) fn send_returns(self: &Arc<Self>, budget: &Arc<Budget>) {
         let due: Vec<MachineId> = {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.leader);
             let due: Vec<MachineId> = state
                 .returning
@@ -179,11 +180,11 @@
                     if !item.freezes() {
                         return true;
                     }
-                    // Empty for good: frozen by a commit that the book has passed.
-                    book.block_of(id).is_some_and(|(_, kept)| {
-                        kept.mark <= book.revision
+                    // Empty for good: frozen by a commit that the cache has passed.
+                    cache.block_of(id).is_some_and(|(_, kept)| {
+                        kept.revision <= cache.revision
                             && kept.value.machines.get(*id) == Some(&MachineUse::Frozen)
-                    }) && !book.on_machine.contains_key(*id)
+                    }) && !cache.on_machine.contains_key(*id)
                 })
                 .map(|(id, _)| id.clone())
                 .take(RETURNED_AT_ONCE)
@@ -222,11 +223,11 @@
     /// Their return was answered: they and all on them are gone.
     pub(super) async fn machines_gone(&self, machines: &[MachineId]) {
         let parts = {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut rentals: BTreeMap<&RentName, RentalRecord> = BTreeMap::new();
             for id in machines {
-                if let Some(record) = book.machines.get(id)
-                    && let Some(kept) = book.rentals.get(&record.rental)
+                if let Some(record) = cache.machines.get(id)
+                    && let Some(kept) = cache.rentals.get(&record.rental)
                 {
                     rentals
                         .entry(&record.rental)
@@ -241,7 +242,7 @@
                 .map(|part| {
                     let mut transaction = Transaction::default();
                     for (name, rental) in part {
-                        let mark = book.rentals.get(*name).map_or(Revision(0), |k| k.mark);
+                        let mark = cache.rentals.get(*name).map_or(Revision(0), |k| k.revision);
                         let key = keys::machines(name);
                         transaction = transaction.require(key.clone(), mark);
                         transaction = if rental.machines.is_empty() {
--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -19,7 +19,7 @@
         node::Node,
         policy::{band, giveback, remedial, zones::ZoneConstraint},
     },
-    storage::{Book, MachineId},
+    storage::{MachineId, StateCache},
 };
 
 /// Machines rented with one request.
@@ -39,16 +39,16 @@
     /// The band's round, and the remedial rule between rounds.
     pub(super) fn judge_band(
         &self,
-        book: &Book,
+        cache: &StateCache,
         state: &mut LeaderState,
         now: Instant,
     ) -> Vec<Rental> {
         let tuning = &self.config.tuning;
         let wall = (self.config.wall)();
-        let up: BTreeSet<MachineId> = book
+        let up: BTreeSet<MachineId> = cache
             .machines
             .keys()
-            .filter(|id| state.is_up(book, id))
+            .filter(|id| state.is_up(cache, id))
             .cloned()
             .collect();
         let LeaderState {
@@ -61,14 +61,14 @@
         } = state;
         let refused = fleet.refused.clone();
         let market = Market {
-            book,
+            cache,
             refused: &refused,
             now,
             k: tuning.suitability_k,
         };
         stats.starve(unplaced.iter().map(|item| &item.job), now);
         stats.observe(
-            book,
+            cache,
             now,
             wall,
             tuning.start_target,
@@ -79,10 +79,10 @@
                 suited.into_iter().next().map(|suited| suited.pool)
             },
         );
-        let mut booting = booting_slots(book, self.config.now_ms(), |id| up.contains(id));
+        let mut booting = booting_slots(cache, self.config.now_ms(), |id| up.contains(id));
         // Rents on their way count as well.
-        for kept in book.rents.values() {
-            if let Some(kind) = book.machine_type(&kept.value.kind) {
+        for kept in cache.rents.values() {
+            if let Some(kind) = cache.machine_type(&kept.value.kind) {
                 for _ in 0..kept.value.count {
                     booting.push(empty_slot(kind, &kept.value.zone, kept.value.spot));
                 }
@@ -100,7 +100,7 @@
         let mut wanted: Vec<(Pool, u32)> = Vec::new();
         if round_due {
             fleet.last_round = Some(now);
-            let machines = used_machines(book, tuning.paid, self.config.now_ms(), |id| {
+            let machines = used_machines(cache, tuning.paid, self.config.now_ms(), |id| {
                 up.contains(id)
             });
             wanted = self.periodic(&market, fleet, stats, (unplaced, &need), machines);
@@ -162,13 +162,13 @@
         (unplaced, need): (&[Unplaced], &BTreeMap<Pool, f64>),
         machines: Vec<(giveback::Used<MachineId>, bool)>,
     ) -> Vec<(Pool, u32)> {
-        let book = market.book;
+        let cache = market.cache;
         let tuning = &self.config.tuning;
         let mut queue: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut overdue = Vec::new();
         let mut waiting = 0;
         for item in unplaced {
-            if !book.jobs.contains_key(&item.job) {
+            if !cache.jobs.contains_key(&item.job) {
                 continue;
             }
             waiting += item.tasks;
@@ -196,7 +196,7 @@
                 least_utilisation: machines
                     .iter()
                     .filter(|(used, _)| {
-                        let machine = book.machines.get(&used.id);
+                        let machine = cache.machines.get(&used.id);
                         machine.is_some_and(|machine| pool.holds(machine))
                     })
                     .map(|(used, _)| used.utilisation)
@@ -229,7 +229,7 @@
             renting = total,
             "band"
         );
-        let kinds = book
+        let kinds = cache
             .catalog
             .as_ref()
             .map_or(1, |kept| kept.value.types.len());
@@ -249,7 +249,7 @@
         let emptying = fleet
             .marked
             .iter()
-            .filter(|id| book.on_machine.contains_key(*id))
+            .filter(|id| cache.on_machine.contains_key(*id))
             .count();
         let most = most.saturating_sub(emptying);
         if total == 0 && most > 0 {
@@ -290,7 +290,7 @@
                 // replicas have room elsewhere, to where they are moved.
                 if services.contains(&used.id) {
                     tried += 1;
-                    if !self.can_rehouse(book, &used.id, &except) {
+                    if !self.can_rehouse(cache, &used.id, &except) {
                         continue;
                     }
                 }
--- a/src/coordination/leader/homes.rs
+++ b/src/coordination/leader/homes.rs
@@ -16,7 +16,7 @@
     routing::HomeChange,
 };
 use crate::storage::{
-    Book, JobSpec, Revision, Transaction, ZoneName, book::Job, budget::Urgency, keys,
+    JobSpec, Revision, StateCache, Transaction, ZoneName, budget::Urgency, keys, state_cache::Job,
 };
 
 /// Between two changes of a job's zone, so that it does not go to and fro between zones
@@ -32,7 +32,7 @@
             if self.store.commit_wait(Urgency::Place).is_some() || !self.may_change_home(&change) {
                 continue;
             }
-            let Some(transaction) = home_transaction(&self.store.book(), &change) else {
+            let Some(transaction) = home_transaction(&self.store.cache(), &change) else {
                 continue;
             };
             let written = self.commit_as_leader(transaction, Urgency::Place).await;
@@ -54,12 +54,12 @@
 }
 
 /// The change of a job's spec; none if the replica can't tell yet that it is allowed.
-fn home_transaction(book: &Book, change: &HomeChange) -> Option<Transaction> {
-    let job = book.jobs.get(&change.job)?;
+fn home_transaction(cache: &StateCache, change: &HomeChange) -> Option<Transaction> {
+    let job = cache.jobs.get(&change.job)?;
     let kept = job.spec.as_ref()?;
     let allowed = match &change.zone {
         None => true,
-        Some(zone) => may_settle(book, job, kept.mark, zone),
+        Some(zone) => may_settle(cache, job, kept.revision, zone),
     };
     if !allowed || job.draining.is_some() {
         return None;
@@ -71,7 +71,7 @@
     let key = keys::spec(&change.job);
     Some(
         Transaction::default()
-            .require(key.clone(), kept.mark)
+            .require(key.clone(), kept.revision)
             .require(keys::fate(&change.job), Revision(0))
             .set(key, &spec),
     )
@@ -79,12 +79,15 @@
 
 /// Whether no task of the job can be in another zone: every placement made under an
 /// earlier spec is in the replica, and so is every machine that is still rented.
-fn may_settle(book: &Book, job: &Job, spec: Revision, zone: &ZoneName) -> bool {
-    let caught_up = book.rentals.values().all(|kept| kept.mark <= book.revision);
+fn may_settle(cache: &StateCache, job: &Job, spec: Revision, zone: &ZoneName) -> bool {
+    let caught_up = cache
+        .rentals
+        .values()
+        .all(|kept| kept.revision <= cache.revision);
     let mut zones = job
         .present_placements()
-        .map(|(_, placement)| book.machines.get(&placement.machine));
+        .map(|(_, placement)| cache.machines.get(&placement.machine));
     caught_up
-        && spec <= book.revision
+        && spec <= cache.revision
         && zones.all(|machine| machine.is_some_and(|machine| machine.zone == *zone))
 }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -21,12 +21,12 @@
         ports::{Dialect, HeldMachine, PeerCall, Sighting, Status},
     },
     storage::{
-        BlockId, Book, CommitError, Fate, Incarnation, JobId, MachineId, NodeName, Quota, Revision,
-        TeamName, Transaction,
+        BlockId, CommitError, Incarnation, JobId, JobOutcome, MachineId, NodeName, Quota, Revision,
+        StateCache, TeamName, Transaction,
         budget::Urgency,
         client::GrantId,
         keys,
-        records::{FateRecord, FormatRecord, LeaderRecord},
+        records::{FormatRecord, LeaderRecord, OutcomeRecord},
     },
 };
 
@@ -78,7 +78,7 @@
     pub(super) fleet: fleet::FleetState,
     /// The outcome of a commit is unknown: our record is written anew, which
     /// voids it, before anything else is decided.
-    refence: bool,
+    must_void_pending: bool,
 }
 
 impl LeaderState {
@@ -97,14 +97,14 @@
         self.fleet.rents = rents;
     }
 
-    /// The grant that our claim is attached to from the next refence on. Without
+    /// The grant that our claim is attached to from the next must_void_pending on. Without
     /// it a leader that was elected unawares could never write its record anew,
     /// and so could not act after its first commit without an answer.
     pub(super) fn take_grant(&mut self, grant: GrantId) {
         if self.grant != Some(grant) {
             self.grant = Some(grant);
             self.since.get_or_insert_with(Instant::now);
-            self.refence = true;
+            self.must_void_pending = true;
         }
     }
 
@@ -140,11 +140,12 @@
     }
 
     /// Whether a holder has heard this machine's worker, so that it is up.
-    pub(super) fn is_up(&self, book: &Book, machine: &MachineId) -> bool {
-        book.machines
+    pub(super) fn is_up(&self, cache: &StateCache, machine: &MachineId) -> bool {
+        cache
+            .machines
             .get(machine)
             .is_some_and(|record| record.address.is_some())
-            || book.block_of(machine).is_some_and(|(_, kept)| {
+            || cache.block_of(machine).is_some_and(|(_, kept)| {
                 self.held(&kept.value.node, machine)
                     .is_some_and(|(held, _)| held.address.is_some())
             })
@@ -194,7 +195,7 @@
     }
 
     async fn lead_once(self: &Arc<Self>) {
-        if lock(&self.leader).refence && !self.refence_leader().await {
+        if lock(&self.leader).must_void_pending && !self.void_pending_leader_commits().await {
             return;
         }
         // Routing never waits for the state service's limit of changes: what has to
@@ -223,7 +224,7 @@
         if let Err(error) = &result {
             tracing::debug!(%error, "leader's commit failed");
             if error.is_unknown() {
-                lock(&self.leader).refence = true;
+                lock(&self.leader).must_void_pending = true;
             }
         }
         result
@@ -231,7 +232,7 @@
 
     /// Writes our record anew: commits of ours that may still be on their way
     /// are conditional on the old one.
-    async fn refence_leader(&self) -> bool {
+    async fn void_pending_leader_commits(&self) -> bool {
         let Some(grant) = lock(&self.leader).grant else {
             return false;
         };
@@ -251,7 +252,7 @@
             .await
             .is_ok();
         if done && self.store.fresh().await {
-            lock(&self.leader).refence = false;
+            lock(&self.leader).must_void_pending = false;
             return true;
         }
         false
@@ -264,10 +265,10 @@
             return;
         }
         let mark = {
-            let book = self.store.book();
-            match &book.format {
+            let cache = self.store.cache();
+            match &cache.format {
                 Some(kept) if kept.value.dialect >= common.0 => return,
-                Some(kept) => kept.mark,
+                Some(kept) => kept.revision,
                 None => Revision(0),
             }
         };
@@ -286,11 +287,11 @@
 
     async fn plan_blocks(&self) {
         let (changed, transaction) = {
-            let book = self.store.book();
+            let cache = self.store.cache();
             let mut state = lock(&self.leader);
             state.moving.retain(|id, (to, at)| {
                 at.elapsed() < Duration::from_secs(20)
-                    && book
+                    && cache
                         .blocks
                         .get(id)
                         .is_some_and(|kept| kept.value.node != *to)
@@ -315,8 +316,8 @@
                 most: self.config.state.txn_ops.min(OPS_PER_COMMIT),
             };
             drop(state);
-            let changed = blocks::plan(&book, &self.config.teams, &hints);
-            let transaction = changed.transaction(&book);
+            let changed = blocks::plan(&cache, &self.config.teams, &hints);
+            let transaction = changed.transaction(&cache);
             (changed, transaction)
         };
         if changed.is_empty() {
@@ -333,7 +334,7 @@
                         machines = block.machines.len(), frozen = block.frozen, "block granted"
                     );
                 }
-                // The next pass wants the book to have caught up.
+                // The next pass wants the cache to have caught up.
                 self.store.fresh().await;
                 self.leader_kick.notify_one();
             }
@@ -348,21 +349,24 @@
     async fn clean_up(&self) {
         let mut parts: Vec<Transaction> = Vec::new();
         {
-            let book = self.store.book();
-            let caught_up = book.rentals.values().all(|kept| kept.mark <= book.revision);
+            let cache = self.store.cache();
+            let caught_up = cache
+                .rentals
+                .values()
+                .all(|kept| kept.revision <= cache.revision);
             let most = self.config.state.txn_ops;
-            for id in &book.ending {
+            for id in &cache.ending {
                 if parts.len() >= PARTS / 2 {
                     break;
                 }
-                let Some(job) = book.jobs.get(id) else {
+                let Some(job) = cache.jobs.get(id) else {
                     continue;
                 };
                 // Its fate was written with the drain key, so that nothing is
-                // placed after that; what was placed before it the book holds
+                // placed after that; what was placed before it the cache holds
                 // only once it has passed that revision.
                 let gone = job.placed == 0 || (caught_up && job.present() == 0);
-                if job.draining.is_some_and(|mark| mark <= book.revision) && gone {
+                if job.draining.is_some_and(|mark| mark <= cache.revision) && gone {
                     let mut part = Transaction::default();
                     for chunk in job.chunks.keys().take(most - 2) {
                         part = part.remove(keys::run(id, *chunk));
@@ -372,8 +376,8 @@
                     }
                     parts.push(part);
                 } else if job.draining.is_none() && job.all_done() {
-                    let fate = FateRecord {
-                        fate: Fate::Done,
+                    let fate = OutcomeRecord {
+                        fate: JobOutcome::Done,
                         done: job.done,
                     };
                     let mut part = Transaction::default()
@@ -393,7 +397,7 @@
             }
             if caught_up {
                 let mut state = lock(&self.leader);
-                self.free_places(&book, &mut state.lost_since, &mut parts);
+                self.free_places(&cache, &mut state.lost_since, &mut parts);
             }
         }
         let more = parts.len() >= PARTS / 2;
@@ -426,15 +430,15 @@
     /// for a while uses quota for nothing and is freed here.
     fn free_places(
         &self,
-        book: &Book,
+        cache: &StateCache,
         since: &mut BTreeMap<MachineId, Instant>,
         parts: &mut Vec<Transaction>,
     ) {
         let now = Instant::now();
-        since.retain(|machine, _| book.on_machine.contains_key(machine));
+        since.retain(|machine, _| cache.on_machine.contains_key(machine));
         let mut lost: BTreeMap<(&JobId, u32), Vec<u32>> = BTreeMap::new();
-        for (machine, load) in &book.on_machine {
-            if !book.machines.contains_key(machine) {
+        for (machine, load) in &cache.on_machine {
+            if !cache.machines.contains_key(machine) {
                 let at = *since.entry(machine.clone()).or_insert(now);
                 if now.duration_since(at) < FREED_AFTER {
                     continue;
@@ -450,7 +454,7 @@
             if parts.len() >= PARTS {
                 return;
             }
-            let Some(job) = book.jobs.get(id) else {
+            let Some(job) = cache.jobs.get(id) else {
                 continue;
             };
             // Of a job that is over the whole record goes, perhaps in this very
@@ -466,7 +470,7 @@
             let key = keys::run(id, chunk);
             parts.push(
                 Transaction::default()
-                    .require(key.clone(), kept.mark)
+                    .require(key.clone(), kept.revision)
                     .set(key, &record),
             );
         }
@@ -474,8 +478,8 @@
 
     async fn route(self: &Arc<Self>) {
         let routed = {
-            let book = self.store.book();
-            if book.waiting.is_empty() {
+            let cache = self.store.cache();
+            if cache.waiting.is_empty() {
                 let mut state = lock(&self.leader);
                 state.offered.clear();
                 state.unplaced.clear();
@@ -511,7 +515,7 @@
                 let held = told.held.get(id)?;
                 let age = told.at.elapsed();
                 // Marked and idle: it is to stay so.
-                let leaves = fleet.marked.contains(id) && !book.on_machine.contains_key(id);
+                let leaves = fleet.marked.contains(id) && !cache.on_machine.contains_key(id);
                 (age <= STATUS_LIFE
                     && !leaves
                     && held.silent + age < silent
@@ -526,10 +530,10 @@
                     })
             };
             let routing = routing::Routing {
-                book: &book,
+                cache: &cache,
                 teams: &self.config.teams,
                 open: routing::open_machines(
-                    &book,
+                    &cache,
                     &usable,
                     self.config.now_ms(),
                     self.config.tuning.paid,
--- a/src/coordination/leader/routing/bound.rs
+++ b/src/coordination/leader/routing/bound.rs
@@ -42,7 +42,7 @@
         };
         match &spec.home {
             None => {
-                let settled = zones::of_job(self.book, job).settled_zone().cloned();
+                let settled = zones::of_job(self.cache, job).settled_zone().cloned();
                 if let Some(zone) = settled.or(roomy.cloned()) {
                     routed.homes.push(change(Some(zone)));
                 }
@@ -83,7 +83,7 @@
     /// The zone constraint for the next task of a job; those under way are as good as
     /// there.
     pub(super) fn constraint(&self, candidate: &Candidate<'_>) -> ZoneConstraint {
-        let mut constraint = zones::of_job(self.book, candidate.job);
+        let mut constraint = zones::of_job(self.cache, candidate.job);
         self.count_offered(candidate, &mut constraint, |_| true);
         constraint
     }
@@ -95,7 +95,7 @@
         tasks: &'t [u32],
     ) -> Vec<zones::ConstrainedPart<'t>> {
         let scope = self.scope(candidate.spec);
-        let mut parts = zones::constrained_parts(self.book, candidate.job, scope, tasks);
+        let mut parts = zones::constrained_parts(self.cache, candidate.job, scope, tasks);
         for (part, constraint) in &mut parts {
             let record = part.first().map_or(0, |task| task / keys::CHUNK);
             self.count_offered(candidate, constraint, |task| {
@@ -116,7 +116,7 @@
         }
         let under_way = self.offered.get(candidate.id);
         for (task, offered) in under_way.into_iter().flatten() {
-            if let Some(record) = self.book.machines.get(&offered.machine)
+            if let Some(record) = self.cache.machines.get(&offered.machine)
                 && counts(*task)
             {
                 constraint.add(&record.zone);
--- a/src/coordination/leader/routing/gangs.rs
+++ b/src/coordination/leader/routing/gangs.rs
@@ -46,7 +46,7 @@
             *told = Some(now);
             let tasks = job.present_placements();
             for (task, placement) in tasks {
-                if let Some((_, kept)) = self.book.block_of(&placement.machine) {
+                if let Some((_, kept)) = self.cache.block_of(&placement.machine) {
                     let leaving = routed.preempt.entry(kept.value.node.clone()).or_default();
                     leaving.push(TaskId::new((*id).clone(), task));
                 }
--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -27,8 +27,8 @@
         ports::Offer,
     },
     storage::{
-        Book, ClassName, JobId, JobKind, JobSpec, MachineId, NodeName, Priority, Quota, TaskId,
-        Team, TeamName, TypeName, ZoneName, book::Job,
+        ClassName, JobId, JobKind, JobSpec, MachineId, NodeName, Priority, Quota, StateCache,
+        TaskId, Team, TeamName, TypeName, ZoneName, state_cache::Job,
     },
 };
 
@@ -111,7 +111,7 @@
 const CLEARED_PER_PASS: usize = 12;
 
 pub struct Routing<'a> {
-    pub book: &'a Book,
+    pub cache: &'a StateCache,
     pub teams: &'a [Team],
     pub open: Open,
     pub offered: &'a mut Offered,
@@ -177,24 +177,24 @@
     pub fn run(mut self) -> Routed {
         let mut routed = Routed::default();
         let mut used = Used {
-            all: self.book.quota_used(self.book.on_machine.keys()),
+            all: self.cache.quota_used(self.cache.on_machine.keys()),
             by_node: self
                 .open
                 .nodes
                 .iter()
-                .map(|node| self.book.quota_used(self.book.machines_of(node)))
+                .map(|node| self.cache.quota_used(self.cache.machines_of(node)))
                 .collect(),
         };
         self.settle_offers(&mut used);
         let now = self.now;
         self.clearing
             .retain(|_, since| now.duration_since(*since) < CLEARING);
-        let jobs = &self.book.jobs;
+        let jobs = &self.cache.jobs;
         self.gangs.retain(|id, _| jobs.contains_key(id));
         self.bound
             .retain(|_, since| now.duration_since(*since) < SHARED_AFTER * 3);
-        let book = self.book;
-        let candidates = self.candidates(book, &used);
+        let cache = self.cache;
+        let candidates = self.candidates(cache, &used);
         let mut jobs = 0;
         for candidate in candidates {
             let may_clear = candidate.spec.kind == JobKind::Service
@@ -239,9 +239,9 @@
     /// Offers that were taken up, or not in time, are forgotten; the room and
     /// quota of the others is set aside.
     fn settle_offers(&mut self, used: &mut Used) {
-        let (book, now, life) = (self.book, self.now, self.offer_life);
+        let (cache, now, life) = (self.cache, self.now, self.offer_life);
         self.offered.retain(|id, tasks| {
-            let Some(job) = book.jobs.get(id) else {
+            let Some(job) = cache.jobs.get(id) else {
                 return false;
             };
             tasks.retain(|task, offered| {
@@ -262,7 +262,7 @@
             .map(|(at, slot)| (slot.machine.clone(), at))
             .collect();
         for (id, tasks) in self.offered.iter() {
-            let Some(spec) = book.jobs.get(id).and_then(Job::spec) else {
+            let Some(spec) = cache.jobs.get(id).and_then(Job::spec) else {
                 continue;
             };
             let quota = Quota::of(&spec.per_task);
@@ -280,13 +280,13 @@
         }
     }
 
-    fn candidates<'b>(&self, book: &'b Book, used: &Used) -> Vec<Candidate<'b>> {
-        let mut candidates: Vec<Candidate<'b>> = book
+    fn candidates<'b>(&self, cache: &'b StateCache, used: &Used) -> Vec<Candidate<'b>> {
+        let mut candidates: Vec<Candidate<'b>> = cache
             .waiting
             .iter()
             .filter(|id| self.failing.get(*id).is_none_or(|until| *until <= self.now))
             .filter_map(|id| {
-                let job = book.jobs.get(id)?;
+                let job = cache.jobs.get(id)?;
                 let spec = job.spec()?;
                 let borrows = self
                     .teams
@@ -314,7 +314,7 @@
     /// How many more tasks the holder's budget for the job's team allows.
     fn budget_left(&self, group: usize, spec: &JobSpec, used: &Used) -> usize {
         let budget = self
-            .book
+            .cache
             .seats
             .get(&self.open.nodes[group])
             .and_then(|kept| kept.value.budgets.get(&spec.team))
--- a/src/coordination/leader/routing/open.rs
+++ b/src/coordination/leader/routing/open.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     coordination::policy::{giveback, placement},
-    storage::{Book, ImageName, MachineId, NodeName, Resources, records::MachineUse},
+    storage::{ImageName, MachineId, NodeName, Resources, StateCache, records::MachineUse},
 };
 
 /// Machines that tasks can be routed to; a slot's group tells its holder.
@@ -20,22 +20,22 @@
 pub struct Usage {
     pub images: Arc<Vec<ImageName>>,
     pub speed: f64,
-    /// Room of ended tasks that the book still counts.
+    /// Room of ended tasks that the cache still counts.
     pub freed: Resources,
 }
 
 /// The machines that the leader may route tasks to. Full ones are among them,
 /// since others may be stopped there.
 pub fn open_machines(
-    book: &Book,
+    cache: &StateCache,
     usable: Usable<'_>,
     now_ms: u64,
     paid: giveback::PaidPeriods,
 ) -> Open {
     let mut open = Open::default();
-    for kept in book.blocks.values() {
+    for kept in cache.blocks.values() {
         let block = &kept.value;
-        if block.frozen || !book.is_seated(block) {
+        if block.frozen || !cache.is_seated(block) {
             continue;
         }
         let group = match open.nodes.iter().position(|node| *node == block.node) {
@@ -46,10 +46,10 @@
             }
         };
         for (id, machine_use) in &block.machines {
-            let Some(record) = book.machines.get(id) else {
+            let Some(record) = cache.machines.get(id) else {
                 continue;
             };
-            let Some(kind) = book.machine_type(&record.kind) else {
+            let Some(kind) = cache.machine_type(&record.kind) else {
                 continue;
             };
             if *machine_use == MachineUse::Frozen {
@@ -59,10 +59,10 @@
                 continue;
             };
             let mut room = kind.size;
-            room -= book.taken(id);
+            room -= cache.taken(id);
             // What a holder says is behind by up to a second: never more than
-            // the book counts.
-            if book.on_machine.contains_key(id) {
+            // the cache counts.
+            if cache.on_machine.contains_key(id) {
                 room += usage.freed;
                 room = room.at_most(&kind.size);
             }
--- a/src/coordination/leader/routing/preemption.rs
+++ b/src/coordination/leader/routing/preemption.rs
@@ -28,7 +28,7 @@
         }
         routed.cleared += 1;
         let mut victims: Vec<(Priority, u64, &TaskId, &MachineId, f64)> = Vec::new();
-        for (machine, load) in &self.book.on_machine {
+        for (machine, load) in &self.cache.on_machine {
             if !load.teams.iter().any(|(team, _)| *team == spec.team) {
                 continue;
             }
@@ -37,7 +37,7 @@
                 if other.team == spec.team
                     && other.kind == JobKind::Array
                     && other.priority < spec.priority
-                    && !self.book.ending.contains(&task.job)
+                    && !self.cache.ending.contains(&task.job)
                     && !self.clearing.contains_key(task)
                 {
                     let age = u64::MAX - other.accepted_ms;
@@ -54,7 +54,7 @@
                 break;
             }
             missing -= cpus;
-            if let Some((_, kept)) = self.book.block_of(machine) {
+            if let Some((_, kept)) = self.cache.block_of(machine) {
                 chosen.push((kept.value.node.clone(), task.clone()));
             }
         }
@@ -104,7 +104,7 @@
                 continue;
             }
             let mut victims: Vec<(Priority, u64, TaskId, Resources)> = self
-                .book
+                .cache
                 .on_machine
                 .get(&slot.machine)
                 .iter()
@@ -112,7 +112,7 @@
                 .filter_map(|(task, placed)| {
                     let other = placed.spec.as_ref()?;
                     (other.kind == JobKind::Array
-                        && !self.book.ending.contains(&task.job)
+                        && !self.cache.ending.contains(&task.job)
                         && other.priority < spec.priority
                         && !self.clearing.contains_key(task))
                     .then(|| {
--- a/src/coordination/leader/routing/records.rs
+++ b/src/coordination/leader/routing/records.rs
@@ -9,7 +9,7 @@
         leader::routing::{Candidate, Routing, SHARED_AFTER},
         policy::placement,
     },
-    storage::{JobId, JobKind, NodeName, Quota, book::Job, keys},
+    storage::{JobId, JobKind, NodeName, Quota, keys, state_cache::Job},
 };
 
 impl Routing<'_> {
@@ -18,7 +18,7 @@
         let mut nodes: BTreeSet<&NodeName> = BTreeSet::new();
         if let Some(kept) = job.chunks.get(&chunk) {
             for placement in kept.value.placed.values() {
-                if let Some((_, block)) = self.book.block_of(&placement.machine) {
+                if let Some((_, block)) = self.cache.block_of(&placement.machine) {
                     nodes.insert(&block.value.node);
                 }
             }
--- a/src/coordination/leader/stats.rs
+++ b/src/coordination/leader/stats.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::pool::Pool;
-use crate::storage::{Book, JobId, JobSpec};
+use crate::storage::{JobId, JobSpec, StateCache};
 
 #[derive(Debug, Default, Clone, Copy)]
 struct Progress {
@@ -69,7 +69,7 @@
     /// pool that suits a job.
     pub fn observe(
         &mut self,
-        book: &Book,
+        cache: &StateCache,
         now: Instant,
         wall: SystemTime,
         start_target: Duration,
@@ -78,7 +78,7 @@
     ) {
         let mut judged = Vec::new();
         let mut progress = BTreeMap::new();
-        for (id, job) in &book.jobs {
+        for (id, job) in &cache.jobs {
             let Some(spec) = job.spec() else { continue };
             let seen = Progress {
                 started: job.placed + job.done,
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -23,9 +23,9 @@
         startup::Startup,
     },
     storage::{
-        BlockId, Book, MachineId, NodeName, Revision, StatePort, Store,
-        book::Kept,
+        BlockId, MachineId, NodeName, Revision, StateCache, StatePort, Store,
         records::{BlockRecord, SeatRecord},
+        state_cache::Versioned,
     },
 };
 
@@ -132,8 +132,8 @@
             let counts = self.store.take_counts();
             let (held, offered, results) = lock(&self.holder).sizes();
             let (jobs, waiting) = {
-                let book = self.store.book();
-                (book.jobs.len(), book.waiting.len())
+                let cache = self.store.cache();
+                (cache.jobs.len(), cache.waiting.len())
             };
             tracing::info!(
                 requests = counts.requests,
@@ -160,19 +160,21 @@
     }
 
     pub(super) fn is_leader(&self) -> Option<Revision> {
-        let book = self.store.book();
-        book.leader
+        let cache = self.store.cache();
+        cache
+            .leader
             .as_ref()
             .filter(|leader| {
                 leader.value.node == self.config.node
                     && leader.value.incarnation == self.config.incarnation
             })
-            .map(|leader| leader.mark)
+            .map(|leader| leader.revision)
     }
 
     /// This node's seat, if this process holds it.
-    pub(super) fn own_seat<'a>(&self, book: &'a Book) -> Option<&'a Kept<SeatRecord>> {
-        book.seats
+    pub(super) fn own_seat<'a>(&self, cache: &'a StateCache) -> Option<&'a Versioned<SeatRecord>> {
+        cache
+            .seats
             .get(&self.config.node)
             .filter(|seat| seat.value.holder == Some(self.config.incarnation))
     }
@@ -185,10 +187,11 @@
     /// The blocks that this process holds.
     pub(super) fn own_blocks<'a>(
         &'a self,
-        book: &'a Book,
-    ) -> impl Iterator<Item = (BlockId, &'a Kept<BlockRecord>)> {
-        let seated = self.own_seat(book).is_some();
-        book.blocks
+        cache: &'a StateCache,
+    ) -> impl Iterator<Item = (BlockId, &'a Versioned<BlockRecord>)> {
+        let seated = self.own_seat(cache).is_some();
+        cache
+            .blocks
             .iter()
             .filter(move |(_, kept)| seated && self.holds(&kept.value))
             .map(|(id, kept)| (*id, kept))
@@ -197,11 +200,12 @@
     /// The block that a machine of ours is in.
     pub(super) fn own_block_of<'a>(
         &self,
-        book: &'a Book,
+        cache: &'a StateCache,
         machine: &MachineId,
-    ) -> Option<(BlockId, &'a Kept<BlockRecord>)> {
-        book.block_of(machine)
-            .filter(|(_, kept)| self.holds(&kept.value) && self.own_seat(book).is_some())
+    ) -> Option<(BlockId, &'a Versioned<BlockRecord>)> {
+        cache
+            .block_of(machine)
+            .filter(|(_, kept)| self.holds(&kept.value) && self.own_seat(cache).is_some())
     }
 
     /// Whether reports may be answered with 200, which renews leases: only
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -49,8 +49,9 @@
     }
 
     fn leads(&self, node: &NodeName) -> bool {
-        let book = self.store.book();
-        book.leader
+        let cache = self.store.cache();
+        cache
+            .leader
             .as_ref()
             .is_some_and(|leader| leader.value.node == *node)
     }
@@ -86,7 +87,7 @@
             let life = self.config.sighted() + EVERY * 2;
             lock(&self.sightings).retain(|_, (at, _)| at.elapsed() < life);
             // Before asking: what a peer knows at most this much of, we know.
-            let applied = self.store.book().revision;
+            let applied = self.store.cache().revision;
             if self.is_leader().is_some() {
                 lock(&self.leader).take_status(self.status(true), started);
             }
@@ -130,10 +131,13 @@
     /// to us while it has none. None: some have said nothing yet, and silence is no
     /// word. A controller that is cut off from its peers alone holds nobody up.
     pub(super) fn common_dialect(&self) -> Option<Dialect> {
-        let book = self.store.book();
+        let cache = self.store.cache();
         let links = lock(&self.links);
         let said = self.config.peers.iter().map(|(name, _)| {
-            let registered = book.nodes.get(name).map(|kept| Dialect(kept.value.dialect));
+            let registered = cache
+                .nodes
+                .get(name)
+                .map(|kept| Dialect(kept.value.dialect));
             registered.or_else(|| links.dialects.get(name).copied())
         });
         said.chain([Some(self.config.dialect)]).min().flatten()
@@ -141,8 +145,11 @@
 
     /// Whether all controllers are known to read this, and to go on doing so.
     pub(super) fn all_read(&self, dialect: Dialect) -> bool {
-        let book = self.store.book();
-        let recorded = book.format.as_ref().map(|kept| Dialect(kept.value.dialect));
+        let cache = self.store.cache();
+        let recorded = cache
+            .format
+            .as_ref()
+            .map(|kept| Dialect(kept.value.dialect));
         recorded.unwrap_or_default() >= dialect
     }
 
@@ -166,7 +173,7 @@
                 complete = false;
                 continue;
             };
-            let new = self.store.book().note_cancelled(jobs, told.seen);
+            let new = self.store.cache().note_cancelled(jobs, told.seen);
             if new > 0 {
                 tracing::info!(jobs = new, "cancelled, by the word of a peer");
                 self.holder_kick.notify_one();
@@ -179,8 +186,8 @@
     fn cancelled_since(&self, revision: Revision) -> Cancellations {
         let seen = self.store.seen();
         let jobs = (self.store.is_loaded() && self.store.has_followed_fates()).then(|| {
-            let book = self.store.book();
-            book.cancelled_since(revision)
+            let cache = self.store.cache();
+            cache.cancelled_since(revision)
         });
         let jobs = jobs.filter(|jobs| jobs.len() <= CANCELLATIONS);
         Cancellations { seen, jobs }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -9,7 +9,7 @@
         ports::{Command, Report, ReportAnswer, TaskState},
         view::{Source, View},
     },
-    storage::{Attempt, Book, JobSpec, MachineId, TaskId, Token},
+    storage::{Attempt, JobSpec, MachineId, StateCache, TaskId, Token},
 };
 
 /// Commands in one answer; the rest follow with the next.
@@ -21,33 +21,33 @@
             return ReportAnswer::Unavailable;
         }
         let now = Instant::now();
-        let book = self.store.book();
-        let Some((_, block)) = book.block_of(&report.machine) else {
-            drop(book);
+        let cache = self.store.cache();
+        let Some((_, block)) = cache.block_of(&report.machine) else {
+            drop(cache);
             self.sight(report);
             return ReportAnswer::NotHere(None);
         };
         let (node, holder) = (block.value.node.clone(), block.value.holder);
-        let token = Token::from(block.mark);
+        let token = Token::from(block.revision);
         if node != self.config.node {
-            let alive = book
+            let alive = cache
                 .nodes
                 .get(&node)
                 .is_some_and(|kept| kept.value.incarnation == holder);
-            drop(book);
+            drop(cache);
             self.sight(report);
             return ReportAnswer::NotHere(alive.then_some(node));
         }
         // Another process held the block, our view of it is behind, or our
         // right to renew leases has run out: a 200 would be wrong or dropped.
-        if self.own_block_of(&book, &report.machine).is_none()
+        if self.own_block_of(&cache, &report.machine).is_none()
             || report.token > token
             || !self.is_entitled()
         {
             return ReportAnswer::Unavailable;
         }
         let mut state = lock(&self.holder);
-        let acquired = Token::from(book.held_since(&report.machine));
+        let acquired = Token::from(cache.held_since(&report.machine));
         // It went away and came back before our loop noticed.
         if state
             .views
@@ -70,15 +70,15 @@
                 commands: Vec::new(),
             };
         }
-        let mut commands = commands(&report.machine, view, &book, |task, attempt| {
+        let mut commands = commands(&report.machine, view, &cache, |task, attempt| {
             preempting.get(task) == Some(&attempt)
         });
         commands.truncate(COMMANDS);
         view.answer_starts(&commands);
         view.note_answer(token, self.config.report_pause(), now);
-        let results = self.note_results(&mut state, &book, &report.machine, now);
+        let results = self.note_results(&mut state, &cache, &report.machine, now);
         drop(state);
-        drop(book);
+        drop(cache);
         if results {
             self.holder_kick.notify_one();
         }
@@ -100,15 +100,15 @@
 fn commands(
     machine: &MachineId,
     view: &View,
-    book: &Book,
+    cache: &StateCache,
     preempting: impl Fn(&TaskId, Attempt) -> bool,
 ) -> Vec<Command> {
     let none = Default::default();
-    let placed = &book.on_machine.get(machine).unwrap_or(&none).tasks;
+    let placed = &cache.on_machine.get(machine).unwrap_or(&none).tasks;
     let mut clears = Vec::new();
     let mut others = Vec::new();
     for (task, seen) in &view.tasks {
-        let job = book.jobs.get(&task.job);
+        let job = cache.jobs.get(&task.job);
         let matching = placed
             .get(task)
             .filter(|placed| placed.placement.attempt == seen.attempt);
@@ -118,7 +118,7 @@
             // Its result is being committed.
             (Some(_), true) => {}
             (Some(_), false) => {
-                let cancelled = book.is_cancelled(&task.job);
+                let cancelled = cache.is_cancelled(&task.job);
                 if cancelled || preempting(task, attempt) {
                     others.push(Command::Stop {
                         task: task.clone(),
@@ -133,7 +133,7 @@
                 attempt,
             }),
             (None, true) => {}
-            // Nobody's placement: our book holds all that earlier holders
+            // Nobody's placement: our cache holds all that earlier holders
             // committed, since it holds our block's record.
             (None, false) => others.push(Command::Stop {
                 task: task.clone(),
@@ -148,8 +148,8 @@
             .tasks
             .get(task)
             .is_some_and(|seen| seen.attempt == placement.attempt);
-        let spec = book.jobs.get(&task.job).and_then(|job| job.spec());
-        let cancelled = book.is_cancelled(&task.job) || spec.is_none();
+        let spec = cache.jobs.get(&task.job).and_then(|job| job.spec());
+        let cancelled = cache.is_cancelled(&task.job) || spec.is_none();
         if !listed
             && !cancelled
             && placement.session == view.session
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -50,12 +50,12 @@
                 && self.store.is_loaded()
             {
                 self.stand_for_leader(held).await;
-                // Elected by a commit whose answer was lost: only the book tells.
+                // Elected by a commit whose answer was lost: only the cache tells.
                 if self.is_leader().is_some() {
                     lock(&self.leader).take_grant(held);
                 }
             }
-            let living = self.store.book().nodes.len();
+            let living = self.store.cache().nodes.len();
             // The limits to come may hold from the time on when all can keep to them.
             let lowered = self.all_read(Dialect::GANGS);
             let leads = self.is_leader().is_some();
@@ -80,7 +80,7 @@
         // key under a grant that ends, and take it away with it.
         let key = keys::node(&self.config.node);
         let found = self.store.get(&key).await.ok()?;
-        let mark = found.map_or(Revision(0), |item| item.mark);
+        let mark = found.map_or(Revision(0), |item| item.revision);
         let transaction =
             Transaction::default()
                 .require(key.clone(), mark)
@@ -97,13 +97,13 @@
         }
     }
 
-    /// The book, which holds our own commits from their answer on, shows no
+    /// The cache, which holds our own commits from their answer on, shows no
     /// registration of ours.
     fn is_unregistered(&self) -> bool {
         self.store.is_loaded()
             && self
                 .store
-                .book()
+                .cache()
                 .nodes
                 .get(&self.config.node)
                 .is_none_or(|kept| kept.value.incarnation != self.config.incarnation)
@@ -111,15 +111,15 @@
 
     async fn stand_for_leader(&self, grant: GrantId) {
         let expected = {
-            let book = self.store.book();
-            match &book.leader {
+            let cache = self.store.cache();
+            match &cache.leader {
                 None => Revision(0),
                 // Left by an earlier process of this node, which is dead.
                 Some(kept)
                     if kept.value.node == self.config.node
                         && kept.value.incarnation != self.config.incarnation =>
                 {
-                    kept.mark
+                    kept.revision
                 }
                 Some(_) => return,
             }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -5,8 +5,8 @@
 use crate::{
     coordination::{node::Node, policy::zones::ZoneScope, ports::Dialect},
     storage::{
-        CommitError, Fate, JobId, JobKind, JobSpec, Quota, Revision, Transaction, book::Job,
-        budget::Urgency, keys, records::FateRecord,
+        CommitError, JobId, JobKind, JobOutcome, JobSpec, Quota, Revision, Transaction,
+        budget::Urgency, keys, records::OutcomeRecord, state_cache::Job,
     },
 };
 
@@ -25,12 +25,12 @@
     pub running: u32,
 }
 
-impl From<FateRecord> for JobStatus {
-    fn from(record: FateRecord) -> Self {
+impl From<OutcomeRecord> for JobStatus {
+    fn from(record: OutcomeRecord) -> Self {
         Self {
             state: match record.fate {
-                Fate::Done => JobState::Done,
-                Fate::Cancelled => JobState::Cancelled,
+                JobOutcome::Done => JobState::Done,
+                JobOutcome::Cancelled => JobState::Cancelled,
             },
             done: record.done,
             running: 0,
@@ -66,10 +66,10 @@
 
 impl Node {
     pub async fn submit(&self, id: JobId, mut spec: JobSpec) -> Result<Submitted, UserError> {
-        if let Some(fate) = self.store.book().fate(&id) {
+        if let Some(fate) = self.store.cache().fate(&id) {
             return Ok(Submitted::Known(fate.into()));
         }
-        let known = self.store.book().jobs.contains_key(&id);
+        let known = self.store.cache().jobs.contains_key(&id);
         if known {
             return self.ask(&id).await.map(Submitted::Known);
         }
@@ -126,8 +126,8 @@
         if !self.store.is_loaded() {
             return Err(UserError::Unavailable);
         }
-        let book = self.store.book();
-        let Some(catalog) = &book.catalog else {
+        let cache = self.store.cache();
+        let Some(catalog) = &cache.catalog else {
             return Err(UserError::Unavailable);
         };
         let Some(team) = self.config.team(&spec.team) else {
@@ -154,18 +154,18 @@
 
     /// A job's status as of now: final ones from memory, others by a fresh read.
     pub async fn ask(&self, id: &JobId) -> Result<JobStatus, UserError> {
-        if let Some(fate) = self.store.book().fate(id) {
+        if let Some(fate) = self.store.cache().fate(id) {
             return Ok(fate.into());
         }
         if !self.store.fresh().await {
             return Err(UserError::Unavailable);
         }
         {
-            let book = self.store.book();
-            if let Some(fate) = book.fate(id) {
+            let cache = self.store.cache();
+            if let Some(fate) = cache.fate(id) {
                 return Ok(fate.into());
             }
-            if let Some(job) = book.jobs.get(id)
+            if let Some(job) = cache.jobs.get(id)
                 && job.spec.is_some()
                 && job.draining.is_none()
             {
@@ -188,16 +188,17 @@
                 return Ok(status);
             }
             let Some(mark) = ({
-                let book = self.store.book();
-                book.jobs
+                let cache = self.store.cache();
+                cache
+                    .jobs
                     .get(id)
                     .and_then(|job| job.spec.as_ref())
-                    .map(|kept| kept.mark)
+                    .map(|kept| kept.revision)
             }) else {
                 continue;
             };
-            let fate = FateRecord {
-                fate: Fate::Cancelled,
+            let fate = OutcomeRecord {
+                fate: JobOutcome::Cancelled,
                 done: status.done,
             };
             let transaction = Transaction::default()
--- a/src/coordination/view.rs
+++ b/src/coordination/view.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     coordination::ports::{Command, Report, TaskState},
-    storage::{Attempt, ImageName, JobId, Resources, Session, TaskId, Token, book::Load},
+    storage::{Attempt, ImageName, JobId, Resources, Session, TaskId, Token, state_cache::Load},
 };
 
 #[derive(Clone, Debug, PartialEq)]
@@ -172,7 +172,7 @@
         self.sequence
     }
 
-    /// What placed tasks that have ended still take by the book: their room is
+    /// What placed tasks that have ended still take by the cache: their room is
     /// free as soon as they have, although their results are yet to be written.
     pub fn freed(&self, load: &Load) -> Resources {
         let mut freed = Resources::default();
--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -2,19 +2,20 @@
 
 use super::policy::zones::{ZoneConstraint, ZoneScope};
 use crate::storage::{
-    Book, JobSpec, ZoneName, book, keys,
+    JobSpec, StateCache, ZoneName, keys,
     records::{Placement, RunRecord},
+    state_cache,
 };
 
 /// The constraint for the next task of a job.
-pub(super) fn of_job(book: &Book, job: &book::Job) -> ZoneConstraint {
+pub(super) fn of_job(cache: &StateCache, job: &state_cache::Job) -> ZoneConstraint {
     let Some(spec) = job.spec().filter(|spec| spec.is_zone_bound()) else {
         return ZoneConstraint::default();
     };
     let mut constraint = ZoneConstraint::of_job(spec);
     confine_to_home(&mut constraint, spec);
     for kept in job.chunks.values() {
-        count_record(book, &kept.value, &mut constraint);
+        count_record(cache, &kept.value, &mut constraint);
     }
     constraint
 }
@@ -22,8 +23,8 @@
 /// The constraints for the next task of each record of a job, by
 /// [`ZoneScope::PerRecord`].
 pub(super) struct RecordConstraints<'a> {
-    book: &'a Book,
-    job: &'a book::Job,
+    cache: &'a StateCache,
+    job: &'a state_cache::Job,
     spec: Option<&'a JobSpec>,
     /// Zones of which a record holds more than its share: it was written by the rule
     /// for the whole job, before the limits fell. The others must make up for it.
@@ -32,10 +33,10 @@
 
 impl<'a> RecordConstraints<'a> {
     /// Looks at all records of the job once.
-    pub(super) fn new(book: &'a Book, job: &'a book::Job) -> Self {
+    pub(super) fn new(cache: &'a StateCache, job: &'a state_cache::Job) -> Self {
         let spec = job.spec().map(|spec| &**spec);
         let mut constraints = Self {
-            book,
+            cache,
             job,
             spec: spec.filter(|spec| spec.is_zone_bound()),
             exceeded: Vec::new(),
@@ -62,7 +63,7 @@
     fn counted(&self, spec: &JobSpec, record: u32) -> ZoneConstraint {
         let mut constraint = ZoneConstraint::of_record(spec, record);
         if let Some(kept) = self.job.chunks.get(&record) {
-            count_record(self.book, &kept.value, &mut constraint);
+            count_record(self.cache, &kept.value, &mut constraint);
         }
         constraint
     }
@@ -89,16 +90,16 @@
     }
 }
 
-fn count_record(book: &Book, record: &RunRecord, constraint: &mut ZoneConstraint) {
+fn count_record(cache: &StateCache, record: &RunRecord, constraint: &mut ZoneConstraint) {
     for placement in record.placed.values() {
-        if let Some(zone) = zone_of(book, placement) {
+        if let Some(zone) = zone_of(cache, placement) {
             constraint.add(zone);
         }
     }
 }
 
-fn zone_of<'a>(book: &'a Book, placement: &Placement) -> Option<&'a ZoneName> {
-    let machine = book.machines.get(&placement.machine)?;
+fn zone_of<'a>(cache: &'a StateCache, placement: &Placement) -> Option<&'a ZoneName> {
+    let machine = cache.machines.get(&placement.machine)?;
     Some(&machine.zone)
 }
 
@@ -107,15 +108,15 @@
 
 /// The tasks of a job in parts that share a zone constraint.
 pub(super) fn constrained_parts<'a>(
-    book: &Book,
-    job: &book::Job,
+    cache: &StateCache,
+    job: &state_cache::Job,
     scope: ZoneScope,
     tasks: &'a [u32],
 ) -> Vec<ConstrainedPart<'a>> {
     if scope == ZoneScope::WholeJob {
-        return vec![(tasks, of_job(book, job))];
+        return vec![(tasks, of_job(cache, job))];
     }
-    let constraints = RecordConstraints::new(book, job);
+    let constraints = RecordConstraints::new(cache, job);
     let record_of = |task: u32| task / keys::CHUNK;
     tasks
         .chunk_by(|a, b| record_of(*a) == record_of(*b))
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -60,7 +60,7 @@
 }
 
 #[derive(Archive, Serialize, Deserialize, Debug)]
-enum Ask {
+enum Request {
     Status(WireStatus),
     Offers(Vec<(String, Vec<u32>)>),
     Preempt(Vec<(String, u32)>),
@@ -71,7 +71,7 @@
 }
 
 #[derive(Archive, Serialize, Deserialize, Debug)]
-enum Tell {
+enum Response {
     Status(WireStatus),
     Taken,
     Probed(bool),
@@ -199,30 +199,30 @@
 
 pub fn write_call(call: PeerCall) -> Result<Vec<u8>, BadFrame> {
     let ask = match call {
-        PeerCall::Status(status) => Ask::Status(status.into()),
-        PeerCall::Offers(offers) => Ask::Offers(
+        PeerCall::Status(status) => Request::Status(status.into()),
+        PeerCall::Offers(offers) => Request::Offers(
             offers
                 .into_iter()
                 .map(|offer| (offer.job.to_string(), offer.tasks))
                 .collect(),
         ),
-        PeerCall::Preempt(tasks) => Ask::Preempt(
+        PeerCall::Preempt(tasks) => Request::Preempt(
             tasks
                 .into_iter()
                 .map(|task| (task.job.to_string(), task.index))
                 .collect(),
         ),
-        PeerCall::Probe(address) => Ask::Probe(address),
-        PeerCall::CancelledSince(revision) => Ask::CancelledSince(revision.0),
+        PeerCall::Probe(address) => Request::Probe(address),
+        PeerCall::CancelledSince(revision) => Request::CancelledSince(revision.0),
     };
     Ok(rkyv::to_bytes::<Error>(&ask)?.to_vec())
 }
 
 pub fn read_call(frame: &[u8]) -> Result<PeerCall, BadFrame> {
     let frame = aligned(frame);
-    Ok(match rkyv::from_bytes::<Ask, Error>(&frame)? {
-        Ask::Status(status) => PeerCall::Status(status.into()),
-        Ask::Offers(offers) => PeerCall::Offers(
+    Ok(match rkyv::from_bytes::<Request, Error>(&frame)? {
+        Request::Status(status) => PeerCall::Status(status.into()),
+        Request::Offers(offers) => PeerCall::Offers(
             offers
                 .into_iter()
                 .filter_map(|(job, tasks)| {
@@ -233,47 +233,47 @@
                 })
                 .collect(),
         ),
-        Ask::Preempt(tasks) => PeerCall::Preempt(
+        Request::Preempt(tasks) => PeerCall::Preempt(
             tasks
                 .into_iter()
                 .filter_map(|(job, index)| Some(TaskId::new(JobId::parse(&job)?, index)))
                 .collect(),
         ),
-        Ask::Probe(address) => PeerCall::Probe(address),
-        Ask::CancelledSince(revision) => PeerCall::CancelledSince(Revision(revision)),
+        Request::Probe(address) => PeerCall::Probe(address),
+        Request::CancelledSince(revision) => PeerCall::CancelledSince(Revision(revision)),
     })
 }
 
 pub fn write_answer(answer: PeerAnswer) -> Result<Vec<u8>, BadFrame> {
     let tell = match answer {
-        PeerAnswer::Status(status) => Tell::Status(status.into()),
-        PeerAnswer::Taken => Tell::Taken,
-        PeerAnswer::Probed(up) => Tell::Probed(up),
+        PeerAnswer::Status(status) => Response::Status(status.into()),
+        PeerAnswer::Taken => Response::Taken,
+        PeerAnswer::Probed(up) => Response::Probed(up),
         PeerAnswer::CancelledSince(Cancellations { seen, jobs }) => {
             let complete = jobs.is_some();
             let names = jobs.unwrap_or_default();
             let names = names.iter().map(ToString::to_string).collect();
-            Tell::CancelledSince(seen.0, complete, names)
+            Response::CancelledSince(seen.0, complete, names)
         }
-        PeerAnswer::Unknown => Tell::Unknown,
+        PeerAnswer::Unknown => Response::Unknown,
     };
     Ok(rkyv::to_bytes::<Error>(&tell)?.to_vec())
 }
 
 pub fn read_answer(frame: &[u8]) -> Result<PeerAnswer, BadFrame> {
     let frame = aligned(frame);
-    Ok(match rkyv::from_bytes::<Tell, Error>(&frame)? {
-        Tell::Status(status) => PeerAnswer::Status(status.into()),
-        Tell::Taken => PeerAnswer::Taken,
-        Tell::Probed(up) => PeerAnswer::Probed(up),
-        Tell::CancelledSince(seen, complete, names) => {
+    Ok(match rkyv::from_bytes::<Response, Error>(&frame)? {
+        Response::Status(status) => PeerAnswer::Status(status.into()),
+        Response::Taken => PeerAnswer::Taken,
+        Response::Probed(up) => PeerAnswer::Probed(up),
+        Response::CancelledSince(seen, complete, names) => {
             let jobs: Option<Vec<JobId>> = names.iter().map(|name| JobId::parse(name)).collect();
             PeerAnswer::CancelledSince(Cancellations {
                 seen: Revision(seen),
                 jobs: jobs.filter(|_| complete),
             })
         }
-        Tell::Unknown => PeerAnswer::Unknown,
+        Response::Unknown => PeerAnswer::Unknown,
     })
 }
 
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -20,7 +20,7 @@
         Item {
             key: entry.k,
             value: entry.data,
-            mark: Revision(entry.mark),
+            revision: Revision(entry.mark),
         }
     }
 }
@@ -138,11 +138,11 @@
             Happening::Set { set, data, mark } => Event::Set(Item {
                 key: set,
                 value: data,
-                mark: Revision(mark),
+                revision: Revision(mark),
             }),
             Happening::Drop { drop, mark } => Event::Drop {
                 key: drop,
-                mark: Revision(mark),
+                revision: Revision(mark),
             },
         }
     }
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -20,12 +20,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    book::Book,
     budget::{Budget, Urgency},
     chance,
     ids::Revision,
     keys,
-    records::FateRecord,
+    records::OutcomeRecord,
+    state_cache::StateCache,
 };
 
 /// A grant of the state service, to which keys can be attached.
@@ -52,8 +52,8 @@
 }
 
 impl Transaction {
-    pub fn require(mut self, key: String, mark: Revision) -> Self {
-        self.conditions.push((key, mark));
+    pub fn require(mut self, key: String, revision: Revision) -> Self {
+        self.conditions.push((key, revision));
         self
     }
 
@@ -135,13 +135,13 @@
 pub struct Item {
     pub key: String,
     pub value: Value,
-    pub mark: Revision,
+    pub revision: Revision,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Set(Item),
-    Drop { key: String, mark: Revision },
+    Drop { key: String, revision: Revision },
 }
 
 pub struct Page {
@@ -203,13 +203,13 @@
 /// The state service as the rest of the program sees it.
 pub struct Store {
     port: Box<dyn StatePort>,
-    book: Mutex<Book>,
+    cache: Mutex<StateCache>,
     changed: watch::Sender<u64>,
     loaded: AtomicBool,
     requests: Budget,
     writes: Budget,
     /// Start of the latest read or commit that the service answered and whose
-    /// changes are all in the book.
+    /// changes are all in the cache.
     confirmed: Mutex<Option<Instant>>,
     failing_since: Mutex<Option<Instant>>,
     fresh_waiting: Mutex<Vec<oneshot::Sender<bool>>>,
@@ -236,7 +236,7 @@
         let StateLimits { rps, write_rps, .. } = limits;
         Self {
             port,
-            book: Mutex::default(),
+            cache: Mutex::default(),
             changed: watch::Sender::new(0),
             loaded: AtomicBool::new(false),
             requests: Budget::between((rps * 0.3).max(2.0), (rps * MOST).max(2.0)),
@@ -289,8 +289,8 @@
         requests.max(self.writes.wait(urgency))
     }
 
-    pub fn book(&self) -> MutexGuard<'_, Book> {
-        lock(&self.book)
+    pub fn cache(&self) -> MutexGuard<'_, StateCache> {
+        lock(&self.cache)
     }
 
     /// The live set has been read once; before that nothing can be decided.
@@ -298,7 +298,7 @@
         self.loaded.load(Ordering::Relaxed)
     }
 
-    /// Tells its receiver of every change of the book.
+    /// Tells its receiver of every change of the cache.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
@@ -340,10 +340,10 @@
         Revision(self.seen.load(Ordering::Relaxed))
     }
 
-    /// The book has caught up with every fate that was looked up ahead of it, so
+    /// The cache has caught up with every fate that was looked up ahead of it, so
     /// that it shows all cancellations that users were told of here.
     pub fn has_followed_fates(&self) -> bool {
-        self.book().revision.0 >= self.looked_up.load(Ordering::Relaxed)
+        self.cache().revision.0 >= self.looked_up.load(Ordering::Relaxed)
     }
 
     /// The state service answers this node.
@@ -378,7 +378,7 @@
         self.seen.fetch_max(revision.0, Ordering::Relaxed);
     }
 
-    /// Commits, and puts the changes into the book. Overload answers are never
+    /// Commits, and puts the changes into the cache. Overload answers are never
     /// executed and are repeated a few times here.
     pub async fn commit(
         &self,
@@ -440,14 +440,14 @@
     }
 
     fn absorb(&self, transaction: &Transaction, revision: Revision) {
-        let mut book = self.book();
+        let mut cache = self.cache();
         for op in &transaction.ops {
             match op {
-                Op::Set { key, value, .. } => book.set(key, value.clone(), revision),
-                Op::Drop { key } => book.drop_ahead(key, revision),
+                Op::Set { key, value, .. } => cache.set(key, value.clone(), revision),
+                Op::Drop { key } => cache.drop_ahead(key, revision),
             }
         }
-        drop(book);
+        drop(cache);
         self.touch();
     }
 
@@ -459,16 +459,19 @@
     }
 
     /// Looks a fate up; `None`: the job has none.
-    pub async fn look_up_fate(&self, job: &super::JobId) -> Result<Option<FateRecord>, StateError> {
+    pub async fn look_up_fate(
+        &self,
+        job: &super::JobId,
+    ) -> Result<Option<OutcomeRecord>, StateError> {
         let Some(item) = self.get(&keys::fate(job)).await? else {
             return Ok(None);
         };
         // Before anybody is told of it: peers ask what we have seen.
-        self.saw(item.mark);
-        self.looked_up.fetch_max(item.mark.0, Ordering::Relaxed);
-        let fate: FateRecord = serde_json::from_value(item.value)
+        self.saw(item.revision);
+        self.looked_up.fetch_max(item.revision.0, Ordering::Relaxed);
+        let fate: OutcomeRecord = serde_json::from_value(item.value)
             .map_err(|error| StateError::Rejected(error.to_string()))?;
-        self.book().keep_fate(job.clone(), fate);
+        self.cache().keep_fate(job.clone(), fate);
         Ok(Some(fate))
     }
 
@@ -486,7 +489,7 @@
         result
     }
 
-    /// A read of everything that begins after this call; true when the book
+    /// A read of everything that begins after this call; true when the cache
     /// then holds all that was committed before it. Callers share reads.
     pub async fn fresh(&self) -> bool {
         if !self.is_loaded() || !self.is_reachable() {
@@ -524,7 +527,7 @@
         }
     }
 
-    /// Duty: keeps the book up to date.
+    /// Duty: keeps the cache up to date.
     pub async fn follow(&self, stop: CancellationToken) {
         while !stop.is_cancelled() {
             let step = async {
@@ -567,21 +570,21 @@
         self.requests.acquire(1.0, Urgency::User).await;
         let started = Instant::now();
         lock(&self.counts).requests += 1;
-        let from = self.book().revision;
+        let from = self.cache().revision;
         let result = self.port.follow(from, hold).await;
         self.note(&result);
         let (revision, events) = result?;
         self.saw(revision);
         let any = !events.is_empty();
         {
-            let mut book = self.book();
-            // The book may have been read anew meanwhile; older events do no
+            let mut cache = self.cache();
+            // The cache may have been read anew meanwhile; older events do no
             // harm, but a gap would.
-            if book.revision < from {
+            if cache.revision < from {
                 return Err(StateError::TooOld);
             }
-            apply(&mut book, events);
-            book.advance(revision);
+            apply(&mut cache, events);
+            cache.advance(revision);
         }
         *lock(&self.last_read) = Instant::now();
         // A held watch answers late; what it tells is as new as its answer, but
@@ -599,7 +602,7 @@
     async fn load(&self) -> Result<(), StateError> {
         let started = Instant::now();
         let mut first: Option<Revision> = None;
-        let mut fresh = Book::default();
+        let mut fresh = StateCache::default();
         for prefix in keys::LIVE {
             let mut after: Option<String> = None;
             loop {
@@ -610,7 +613,7 @@
                 first = Some(first.unwrap_or(page.revision));
                 after = page.items.last().map(|item| item.key.clone());
                 for item in page.items {
-                    fresh.set(&item.key, item.value, item.mark);
+                    fresh.set(&item.key, item.value, item.revision);
                 }
                 if !page.more || after.is_none() {
                     break;
@@ -625,17 +628,17 @@
             machines = fresh.machines.len(),
             "read the live set"
         );
-        // Until it is read on, the book may lack commits of our own that were made
+        // Until it is read on, the cache may lack commits of our own that were made
         // while the pages were read, cancellations among them.
         self.loaded.store(false, Ordering::Relaxed);
         {
-            let mut book = self.book();
-            fresh.take_fates(&mut book);
-            *book = fresh;
+            let mut cache = self.cache();
+            fresh.take_fates(&mut cache);
+            *cache = fresh;
         }
         *lock(&self.last_read) = Instant::now();
         *lock(&self.confirmed) = Some(started);
-        // Only now does the book hold our own commits made meanwhile.
+        // Only now does the cache hold our own commits made meanwhile.
         self.read_on(Duration::ZERO).await?;
         self.loaded.store(true, Ordering::Relaxed);
         self.touch();
@@ -643,11 +646,11 @@
     }
 }
 
-fn apply(book: &mut Book, events: Vec<Event>) {
+fn apply(cache: &mut StateCache, events: Vec<Event>) {
     for event in events {
         match event {
-            Event::Set(item) => book.set(&item.key, item.value, item.mark),
-            Event::Drop { key, mark } => book.drop_key(&key, mark),
+            Event::Set(item) => cache.set(&item.key, item.value, item.revision),
+            Event::Drop { key, revision } => cache.drop_key(&key, revision),
         }
     }
 }
--- a/src/storage/keys.rs
+++ b/src/storage/keys.rs
@@ -68,7 +68,7 @@
 #[derive(Debug, PartialEq)]
 pub enum Key {
     Spec(JobId),
-    Fate(JobId),
+    JobOutcome(JobId),
     Drain(JobId),
     Run(JobId, u32),
     Seat(NodeName),
@@ -91,7 +91,7 @@
             return JobId::parse(rest).map(Key::Spec);
         }
         if let Some(rest) = key.strip_prefix(FATE) {
-            return JobId::parse(rest).map(Key::Fate);
+            return JobId::parse(rest).map(Key::JobOutcome);
         }
         if let Some(rest) = key.strip_prefix(DRAIN) {
             return JobId::parse(rest).map(Key::Drain);
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -1,7 +1,6 @@
 //! Bookkeeping: ids, the job model, the key scheme, the replica of the state
 //! service's live set, and the client that reads and writes it.
 
-pub mod book;
 pub mod budget;
 pub mod chance;
 pub mod client;
@@ -9,8 +8,9 @@
 pub mod keys;
 pub mod model;
 pub mod records;
+pub mod state_cache;
 
-pub use book::Book;
 pub use client::{CommitError, StateError, StateLimits, StatePort, Store, Transaction};
 pub use ids::*;
 pub use model::*;
+pub use state_cache::StateCache;
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -218,7 +218,7 @@
 /// How a job ended. Written once and never changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Fate {
+pub enum JobOutcome {
     Done,
     Cancelled,
 }
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -210,8 +210,8 @@
 
 /// The end of a job, with what a user may still ask about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FateRecord {
-    pub fate: Fate,
+pub struct OutcomeRecord {
+    pub fate: JobOutcome,
     /// Tasks done, for display.
     pub done: u32,
 }
--- a/src/storage/book.rs
+++ b/src/storage/state_cache.rs
@@ -21,8 +21,8 @@
     keys::{self, Key},
     model::*,
     records::{
-        BlockRecord, CatalogRecord, FateRecord, FormatRecord, LeaderRecord, MachineRecord,
-        NodeRecord, Placement, RentRecord, RentalRecord, RunRecord, SeatRecord,
+        BlockRecord, CatalogRecord, FormatRecord, LeaderRecord, MachineRecord, NodeRecord,
+        OutcomeRecord, Placement, RentRecord, RentalRecord, RunRecord, SeatRecord,
     },
 };
 
@@ -32,16 +32,16 @@
 
 /// A value with the revision of its last change.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Kept<T> {
-    pub mark: Revision,
+pub struct Versioned<T> {
+    pub revision: Revision,
     pub value: T,
 }
 
 /// A job that is not over, or still has something to clean up.
 #[derive(Clone, Debug, Default)]
 pub struct Job {
-    pub spec: Option<Kept<Arc<JobSpec>>>,
-    pub chunks: BTreeMap<u32, Kept<RunRecord>>,
+    pub spec: Option<Versioned<Arc<JobSpec>>>,
+    pub chunks: BTreeMap<u32, Versioned<RunRecord>>,
     /// Its user has cancelled it: tasks are to go, none may start.
     pub draining: Option<Revision>,
     pub placed: u32,
@@ -56,10 +56,10 @@
         self.spec.as_ref().map(|kept| &kept.value)
     }
 
-    pub fn run_mark(&self, chunk: u32) -> Revision {
+    pub fn run_revision(&self, chunk: u32) -> Revision {
         self.chunks
             .get(&chunk)
-            .map_or(Revision(0), |kept| kept.mark)
+            .map_or(Revision(0), |kept| kept.revision)
     }
 
     /// Placed tasks that are, or may be, on a machine.
@@ -231,21 +231,21 @@
 const DROPS_KEPT: usize = 4_096;
 
 #[derive(Debug, Default)]
-pub struct Book {
+pub struct StateCache {
     /// The watch has delivered every change up to here.
     pub revision: Revision,
     pub jobs: HashMap<JobId, Job>,
-    pub seats: BTreeMap<NodeName, Kept<SeatRecord>>,
-    pub blocks: BTreeMap<BlockId, Kept<BlockRecord>>,
-    pub rentals: BTreeMap<RentName, Kept<RentalRecord>>,
+    pub seats: BTreeMap<NodeName, Versioned<SeatRecord>>,
+    pub blocks: BTreeMap<BlockId, Versioned<BlockRecord>>,
+    pub rentals: BTreeMap<RentName, Versioned<RentalRecord>>,
     /// The machines of all rentals.
     pub machines: BTreeMap<MachineId, MachineRecord>,
-    pub rents: BTreeMap<RentName, Kept<RentRecord>>,
-    pub nodes: BTreeMap<NodeName, Kept<NodeRecord>>,
-    pub leader: Option<Kept<LeaderRecord>>,
-    pub catalog: Option<Kept<CatalogRecord>>,
+    pub rents: BTreeMap<RentName, Versioned<RentRecord>>,
+    pub nodes: BTreeMap<NodeName, Versioned<NodeRecord>>,
+    pub leader: Option<Versioned<LeaderRecord>>,
+    pub catalog: Option<Versioned<CatalogRecord>>,
     /// What all controllers can read; none: nobody has said yet.
-    pub format: Option<Kept<FormatRecord>>,
+    pub format: Option<Versioned<FormatRecord>>,
     /// Placements by machine, with running sums.
     pub on_machine: HashMap<MachineId, Load>,
     /// Jobs with tasks that are neither placed nor done.
@@ -256,7 +256,7 @@
     /// Jobs that are cancelled by the word of a peer which has seen this revision;
     /// the watch has not brought it yet.
     told_cancelled: BTreeMap<JobId, Revision>,
-    fates: HashMap<JobId, FateRecord>,
+    fates: HashMap<JobId, OutcomeRecord>,
     fate_order: VecDeque<JobId>,
     dropped: HashMap<String, Revision>,
 }
@@ -271,22 +271,22 @@
     }
 }
 
-fn newer<T>(slot: Option<&Kept<T>>, mark: Revision) -> bool {
-    slot.is_none_or(|kept| kept.mark < mark)
+fn newer<T>(slot: Option<&Versioned<T>>, revision: Revision) -> bool {
+    slot.is_none_or(|kept| kept.revision < revision)
 }
 
-impl Book {
-    pub fn fate(&self, job: &JobId) -> Option<FateRecord> {
+impl StateCache {
+    pub fn fate(&self, job: &JobId) -> Option<OutcomeRecord> {
         self.fates.get(job).copied()
     }
 
-    /// Fates never change: those known to the book that this one replaces hold.
-    pub fn take_fates(&mut self, older: &mut Book) {
+    /// Fates never change: those known to the cache that this one replaces hold.
+    pub fn take_fates(&mut self, older: &mut StateCache) {
         self.fates = std::mem::take(&mut older.fates);
         self.fate_order = std::mem::take(&mut older.fate_order);
     }
 
-    pub fn keep_fate(&mut self, job: JobId, fate: FateRecord) {
+    pub fn keep_fate(&mut self, job: JobId, fate: OutcomeRecord) {
         if self.fates.insert(job.clone(), fate).is_none() {
             self.fate_order.push_back(job);
             if self.fate_order.len() > FATES_KEPT
@@ -298,7 +298,7 @@
     }
 
     /// The block that a machine is in.
-    pub fn block_of(&self, machine: &MachineId) -> Option<(BlockId, &Kept<BlockRecord>)> {
+    pub fn block_of(&self, machine: &MachineId) -> Option<(BlockId, &Versioned<BlockRecord>)> {
         let id = self.leases.get(machine)?.block;
         Some((id, self.blocks.get(&id)?))
     }
@@ -371,83 +371,83 @@
             .collect()
     }
 
-    pub fn set(&mut self, key: &str, value: Value, mark: Revision) {
-        if self.dropped.get(key).is_some_and(|at| *at >= mark) {
+    pub fn set(&mut self, key: &str, value: Value, revision: Revision) {
+        if self.dropped.get(key).is_some_and(|at| *at >= revision) {
             return;
         }
         match Key::parse(key) {
             Some(Key::Spec(id)) => {
                 let job = self.jobs.entry(id.clone()).or_default();
-                if newer(job.spec.as_ref(), mark)
+                if newer(job.spec.as_ref(), revision)
                     && let Some(value) = read(key, value)
                 {
-                    job.spec = Some(Kept { mark, value });
+                    job.spec = Some(Versioned { revision, value });
                     self.reload_runs(&id);
                 }
                 self.index(&id);
             }
-            Some(Key::Fate(id)) => {
+            Some(Key::JobOutcome(id)) => {
                 if let Some(fate) = read(key, value) {
                     self.keep_fate(id, fate);
                 }
             }
             Some(Key::Drain(id)) => {
                 let job = self.jobs.entry(id.clone()).or_default();
-                job.draining = job.draining.max(Some(mark));
+                job.draining = job.draining.max(Some(revision));
                 self.index(&id);
             }
             Some(Key::Run(id, chunk)) => {
                 let known = self.jobs.get(&id).and_then(|job| job.chunks.get(&chunk));
-                if newer(known, mark)
+                if newer(known, revision)
                     && let Some(record) = read::<RunRecord>(key, value)
                 {
                     self.replace_run(
                         id,
                         chunk,
-                        Some(Kept {
-                            mark,
+                        Some(Versioned {
+                            revision,
                             value: record,
                         }),
                     );
                 }
             }
-            Some(Key::Seat(node)) => keep(&mut self.seats, node, key, value, mark),
+            Some(Key::Seat(node)) => keep(&mut self.seats, node, key, value, revision),
             Some(Key::Block(id)) => {
-                if newer(self.blocks.get(&id), mark)
+                if newer(self.blocks.get(&id), revision)
                     && let Some(record) = read(key, value)
                 {
                     let value = record;
-                    self.replace_block(id, Some(Kept { mark, value }));
+                    self.replace_block(id, Some(Versioned { revision, value }));
                 }
             }
             Some(Key::Machines(name)) => {
-                if newer(self.rentals.get(&name), mark)
+                if newer(self.rentals.get(&name), revision)
                     && let Some(record) = read(key, value)
                 {
                     let value = record;
-                    self.replace_rental(name, Some(Kept { mark, value }));
+                    self.replace_rental(name, Some(Versioned { revision, value }));
                 }
             }
-            Some(Key::Rent(name)) => keep(&mut self.rents, name, key, value, mark),
-            Some(Key::Node(node)) => keep(&mut self.nodes, node, key, value, mark),
-            Some(Key::Leader) if newer(self.leader.as_ref(), mark) => {
-                self.leader = read(key, value).map(|value| Kept { mark, value });
+            Some(Key::Rent(name)) => keep(&mut self.rents, name, key, value, revision),
+            Some(Key::Node(node)) => keep(&mut self.nodes, node, key, value, revision),
+            Some(Key::Leader) if newer(self.leader.as_ref(), revision) => {
+                self.leader = read(key, value).map(|value| Versioned { revision, value });
             }
-            Some(Key::Catalog) if newer(self.catalog.as_ref(), mark) => {
-                self.catalog = read(key, value).map(|value| Kept { mark, value });
+            Some(Key::Catalog) if newer(self.catalog.as_ref(), revision) => {
+                self.catalog = read(key, value).map(|value| Versioned { revision, value });
             }
-            Some(Key::Format) if newer(self.format.as_ref(), mark) => {
-                self.format = read(key, value).map(|value| Kept { mark, value });
+            Some(Key::Format) if newer(self.format.as_ref(), revision) => {
+                self.format = read(key, value).map(|value| Versioned { revision, value });
             }
             _ => {}
         }
     }
 
-    pub fn drop_key(&mut self, key: &str, mark: Revision) {
+    pub fn drop_key(&mut self, key: &str, revision: Revision) {
         match Key::parse(key) {
             Some(Key::Spec(id)) => {
                 if let Some(job) = self.jobs.get_mut(&id)
-                    && !newer(job.spec.as_ref(), mark)
+                    && !newer(job.spec.as_ref(), revision)
                 {
                     return;
                 }
@@ -458,7 +458,7 @@
             }
             Some(Key::Drain(id)) => {
                 if let Some(job) = self.jobs.get_mut(&id)
-                    && job.draining.is_some_and(|at| at < mark)
+                    && job.draining.is_some_and(|at| at < revision)
                 {
                     job.draining = None;
                 }
@@ -466,31 +466,31 @@
             }
             Some(Key::Run(id, chunk)) => {
                 let known = self.jobs.get(&id).and_then(|job| job.chunks.get(&chunk));
-                if known.is_some() && newer(known, mark) {
+                if known.is_some() && newer(known, revision) {
                     self.replace_run(id, chunk, None);
                 }
             }
-            Some(Key::Seat(node)) => drop_older(&mut self.seats, &node, mark),
-            Some(Key::Block(id)) if newer(self.blocks.get(&id), mark) => {
+            Some(Key::Seat(node)) => drop_older(&mut self.seats, &node, revision),
+            Some(Key::Block(id)) if newer(self.blocks.get(&id), revision) => {
                 self.replace_block(id, None);
             }
-            Some(Key::Machines(name)) if newer(self.rentals.get(&name), mark) => {
+            Some(Key::Machines(name)) if newer(self.rentals.get(&name), revision) => {
                 self.replace_rental(name, None);
             }
-            Some(Key::Rent(name)) => drop_older(&mut self.rents, &name, mark),
-            Some(Key::Node(node)) => drop_older(&mut self.nodes, &node, mark),
-            Some(Key::Leader) if newer(self.leader.as_ref(), mark) => self.leader = None,
-            Some(Key::Catalog) if newer(self.catalog.as_ref(), mark) => self.catalog = None,
+            Some(Key::Rent(name)) => drop_older(&mut self.rents, &name, revision),
+            Some(Key::Node(node)) => drop_older(&mut self.nodes, &node, revision),
+            Some(Key::Leader) if newer(self.leader.as_ref(), revision) => self.leader = None,
+            Some(Key::Catalog) if newer(self.catalog.as_ref(), revision) => self.catalog = None,
             _ => {}
         }
     }
 
     /// A deletion of our own, ahead of the watch: the watch may still deliver
     /// older values of the key, which must not bring it back.
-    pub fn drop_ahead(&mut self, key: &str, mark: Revision) {
-        self.drop_key(key, mark);
-        if mark > self.revision && self.dropped.len() < DROPS_KEPT {
-            self.dropped.insert(key.to_owned(), mark);
+    pub fn drop_ahead(&mut self, key: &str, revision: Revision) {
+        self.drop_key(key, revision);
+        if revision > self.revision && self.dropped.len() < DROPS_KEPT {
+            self.dropped.insert(key.to_owned(), revision);
         }
     }
 
@@ -524,7 +524,7 @@
     pub fn cancelled_since(&self, revision: Revision) -> Vec<JobId> {
         let draining = self.ending.iter().filter(|id| {
             let job = self.jobs.get(*id);
-            job.is_some_and(|job| job.draining.is_some_and(|mark| mark > revision))
+            job.is_some_and(|job| job.draining.is_some_and(|changed| changed > revision))
         });
         draining
             .chain(self.told_cancelled.keys())
@@ -559,7 +559,7 @@
         set_member(&mut self.ending, id, ending);
     }
 
-    fn replace_block(&mut self, id: BlockId, record: Option<Kept<BlockRecord>>) {
+    fn replace_block(&mut self, id: BlockId, record: Option<Versioned<BlockRecord>>) {
         let old = self.blocks.remove(&id);
         if let Some(record) = record {
             let BlockRecord { node, holder, .. } = &record.value;
@@ -568,7 +568,7 @@
                     .leases
                     .get(machine)
                     .filter(|lease| lease.node == *node && lease.holder == *holder);
-                let since = same.map_or(record.mark, |lease| lease.since);
+                let since = same.map_or(record.revision, |lease| lease.since);
                 let lease = Lease {
                     block: id,
                     node: node.clone(),
@@ -590,7 +590,7 @@
         }
     }
 
-    fn replace_rental(&mut self, name: RentName, record: Option<Kept<RentalRecord>>) {
+    fn replace_rental(&mut self, name: RentName, record: Option<Versioned<RentalRecord>>) {
         let old = self.rentals.remove(&name);
         let before = old.as_ref().map(|kept| &kept.value.machines);
         let after = record.as_ref().map(|kept| &kept.value.machines);
@@ -662,7 +662,7 @@
         }
     }
 
-    fn replace_run(&mut self, id: JobId, chunk: u32, record: Option<Kept<RunRecord>>) {
+    fn replace_run(&mut self, id: JobId, chunk: u32, record: Option<Versioned<RunRecord>>) {
         let job = self.jobs.entry(id.clone()).or_default();
         let old = job.chunks.remove(&chunk);
         let none = BTreeMap::new();
@@ -729,21 +729,21 @@
 }
 
 fn keep<K: Ord, T: DeserializeOwned>(
-    map: &mut BTreeMap<K, Kept<T>>,
+    map: &mut BTreeMap<K, Versioned<T>>,
     name: K,
     key: &str,
     value: Value,
-    mark: Revision,
+    revision: Revision,
 ) {
-    if newer(map.get(&name), mark)
+    if newer(map.get(&name), revision)
         && let Some(value) = read(key, value)
     {
-        map.insert(name, Kept { mark, value });
+        map.insert(name, Versioned { revision, value });
     }
 }
 
-fn drop_older<K: Ord, T>(map: &mut BTreeMap<K, Kept<T>>, name: &K, mark: Revision) {
-    if map.get(name).is_some_and(|kept| kept.mark < mark) {
+fn drop_older<K: Ord, T>(map: &mut BTreeMap<K, Versioned<T>>, name: &K, revision: Revision) {
+    if map.get(name).is_some_and(|kept| kept.revision < revision) {
         map.remove(name);
     }
 }
--- a/src/storage/book/tests.rs
+++ b/src/storage/state_cache/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of `storage::book`.
+//! Tests of `storage::cache`.
 
 use serde_json::json;
 
@@ -11,29 +11,29 @@
 
 #[test]
 fn an_older_value_never_replaces_a_newer_one() {
-    let mut book = Book::default();
-    book.set("run/job-1/0", run("vm-2"), Revision(9));
-    book.set("run/job-1/0", run("vm-1"), Revision(5));
-    assert!(book.on_machine.contains_key(&MachineId::new("vm-2")));
-    assert!(!book.on_machine.contains_key(&MachineId::new("vm-1")));
+    let mut cache = StateCache::default();
+    cache.set("run/job-1/0", run("vm-2"), Revision(9));
+    cache.set("run/job-1/0", run("vm-1"), Revision(5));
+    assert!(cache.on_machine.contains_key(&MachineId::new("vm-2")));
+    assert!(!cache.on_machine.contains_key(&MachineId::new("vm-1")));
 }
 
 #[test]
 fn own_deletions_are_not_undone_by_a_late_watch() {
-    let mut book = Book::default();
-    book.set("run/job-1/0", run("vm-1"), Revision(5));
-    book.drop_ahead("run/job-1/0", Revision(8));
-    book.set("run/job-1/0", run("vm-1"), Revision(7));
-    assert!(book.jobs.is_empty() && book.on_machine.is_empty());
-    book.advance(Revision(8));
-    assert!(book.dropped.is_empty());
+    let mut cache = StateCache::default();
+    cache.set("run/job-1/0", run("vm-1"), Revision(5));
+    cache.drop_ahead("run/job-1/0", Revision(8));
+    cache.set("run/job-1/0", run("vm-1"), Revision(7));
+    assert!(cache.jobs.is_empty() && cache.on_machine.is_empty());
+    cache.advance(Revision(8));
+    assert!(cache.dropped.is_empty());
 }
 
 /// Guards against taking a machine that went away and came back for one that
 /// was held all the time: what the holder in between told it may be under way.
 #[test]
 fn a_machine_that_came_back_is_held_anew() {
-    let mut book = Book::default();
+    let mut cache = StateCache::default();
     let block = |node: &str, holder: u64, machines: &[&str]| {
         let machines: serde_json::Map<String, Value> = machines
             .iter()
@@ -42,17 +42,17 @@
         json!({"node": node, "holder": holder, "machines": machines})
     };
     let vm = MachineId::new("vm-1");
-    book.set("block/1", block("a", 7, &["vm-1"]), Revision(3));
-    book.set("block/1", block("a", 7, &["vm-1", "vm-2"]), Revision(4));
-    assert_eq!(book.held_since(&vm), Revision(3));
-    book.set("block/1", block("a", 7, &["vm-2"]), Revision(5));
-    book.set("block/2", block("b", 8, &["vm-1"]), Revision(5));
-    assert_eq!(book.held_since(&vm), Revision(5));
-    book.set("block/2", block("b", 8, &[]), Revision(6));
-    book.set("block/1", block("a", 7, &["vm-1", "vm-2"]), Revision(6));
-    assert_eq!(book.held_since(&vm), Revision(6));
-    book.set("block/1", block("a", 9, &["vm-1", "vm-2"]), Revision(7));
-    assert_eq!(book.held_since(&vm), Revision(7));
+    cache.set("block/1", block("a", 7, &["vm-1"]), Revision(3));
+    cache.set("block/1", block("a", 7, &["vm-1", "vm-2"]), Revision(4));
+    assert_eq!(cache.held_since(&vm), Revision(3));
+    cache.set("block/1", block("a", 7, &["vm-2"]), Revision(5));
+    cache.set("block/2", block("b", 8, &["vm-1"]), Revision(5));
+    assert_eq!(cache.held_since(&vm), Revision(5));
+    cache.set("block/2", block("b", 8, &[]), Revision(6));
+    cache.set("block/1", block("a", 7, &["vm-1", "vm-2"]), Revision(6));
+    assert_eq!(cache.held_since(&vm), Revision(6));
+    cache.set("block/1", block("a", 9, &["vm-1", "vm-2"]), Revision(7));
+    assert_eq!(cache.held_since(&vm), Revision(7));
 }
 
 /// The running sums against a plain recount, over random changes of records.
@@ -60,7 +60,7 @@
 fn running_sums_and_sets_agree_with_a_recount() {
     use rand::{Rng, SeedableRng};
     let mut dice = rand::rngs::StdRng::seed_from_u64(7);
-    let mut book = Book::default();
+    let mut cache = StateCache::default();
     let rental = |machines: u32| {
         let names = (0..machines).map(|n| (format!("vm-{n}"), Value::Null));
         json!({"t": "x", "z": "z", "s": false, "at": 0,
@@ -73,20 +73,20 @@
             "checkpoint": {"secs": 0, "nanos": 0}, "save": {"secs": 0, "nanos": 0},
             "accepted_ms": 0})
     };
-    for mark in 1..600 {
+    for revision in 1..600 {
         let job = dice.random_range(0..6);
         match dice.random_range(0..5) {
             0 => {
                 let team = if job % 2 == 0 { "even" } else { "odd" };
                 let value = spec(team, 1.5 + f64::from(job));
-                book.set(&format!("spec/job-{job}"), value, Revision(mark));
+                cache.set(&format!("spec/job-{job}"), value, Revision(revision));
             }
             2 if dice.random_bool(0.1) => {
                 let value = rental(dice.random_range(0..5));
-                book.set("machine/r-1", value, Revision(mark));
+                cache.set("machine/r-1", value, Revision(revision));
             }
             1 if dice.random_bool(0.2) => {
-                book.drop_key(&format!("run/job-{job}/0"), Revision(mark));
+                cache.drop_key(&format!("run/job-{job}/0"), Revision(revision));
             }
             _ => {
                 let mut placed = serde_json::Map::new();
@@ -97,28 +97,28 @@
                     }
                 }
                 let value = json!({"p": placed});
-                book.set(&format!("run/job-{job}/0"), value, Revision(mark));
+                cache.set(&format!("run/job-{job}/0"), value, Revision(revision));
             }
         }
         let mut cpus: BTreeMap<MachineId, f64> = BTreeMap::new();
-        for job in book.jobs.values() {
+        for job in cache.jobs.values() {
             let each = job.spec().map_or(0.0, |spec| spec.per_task.cpus);
             for placement in job.chunks.values().flat_map(|k| k.value.placed.values()) {
                 *cpus.entry(placement.machine.clone()).or_default() += each;
             }
         }
-        assert_eq!(cpus.len(), book.on_machine.len());
+        assert_eq!(cpus.len(), cache.on_machine.len());
         for (machine, cpus) in cpus {
-            assert!((book.taken(&machine).cpus - cpus).abs() < 1e-9);
-            let used = book.quota_used(std::iter::once(&machine));
+            assert!((cache.taken(&machine).cpus - cpus).abs() < 1e-9);
+            let used = cache.quota_used(std::iter::once(&machine));
             let sum: f64 = used.values().map(|quota| quota.cpus).sum();
             assert!((sum - cpus).abs() < 1e-9);
         }
-        for (id, job) in &book.jobs {
+        for (id, job) in &cache.jobs {
             let placed = job.chunks.values().flat_map(|k| k.value.placed.values());
-            let there = placed.filter(|p| book.machines.contains_key(&p.machine));
+            let there = placed.filter(|p| cache.machines.contains_key(&p.machine));
             assert_eq!(there.count() as u32, job.present());
-            assert_eq!(book.waiting.contains(id), job.waiting() > 0);
+            assert_eq!(cache.waiting.contains(id), job.waiting() > 0);
         }
     }
 }
@@ -127,7 +127,7 @@
 /// that their machine is gone, before they are placed elsewhere.
 #[test]
 fn tasks_of_a_machine_that_is_gone_wait_at_once() {
-    let mut book = Book::default();
+    let mut cache = StateCache::default();
     let rental = |machines: &[&str]| {
         let machines: serde_json::Map<String, Value> = machines
             .iter()
@@ -137,44 +137,44 @@
     };
     let id = JobId::new("job-1");
     // Runs are read before rentals at a start.
-    book.set(
+    cache.set(
         "run/job-1/0",
         json!({"p": {"0": {"a": 1, "m": "vm-1", "s": 1}, "1": {"a": 4, "m": "vm-2", "s": 1}}}),
         Revision(5),
     );
-    assert_eq!(book.jobs[&id].present(), 0);
-    book.set("machine/r-1", rental(&["vm-1", "vm-2"]), Revision(2));
-    assert_eq!(book.jobs[&id].present(), 2);
-    assert!(book.jobs[&id].placement(1).is_some());
-    book.set("machine/r-1", rental(&["vm-1"]), Revision(7));
-    assert_eq!(book.jobs[&id].present(), 1);
-    assert!(book.jobs[&id].placement(1).is_none());
-    assert!(book.jobs[&id].placement(0).is_some());
+    assert_eq!(cache.jobs[&id].present(), 0);
+    cache.set("machine/r-1", rental(&["vm-1", "vm-2"]), Revision(2));
+    assert_eq!(cache.jobs[&id].present(), 2);
+    assert!(cache.jobs[&id].placement(1).is_some());
+    cache.set("machine/r-1", rental(&["vm-1"]), Revision(7));
+    assert_eq!(cache.jobs[&id].present(), 1);
+    assert!(cache.jobs[&id].placement(1).is_none());
+    assert!(cache.jobs[&id].placement(0).is_some());
     // The next placement takes the place of the old one, with a new attempt.
-    let mut record = book.jobs[&id].chunks[&0].value.clone();
+    let mut record = cache.jobs[&id].chunks[&0].value.clone();
     let attempt = record.next_attempt(1);
     assert_eq!(attempt, Attempt(5));
     record.place(1, MachineId::new("vm-1"), Session(1), attempt);
     let value = serde_json::to_value(&record).expect("plain data");
-    book.set("run/job-1/0", value, Revision(8));
-    assert_eq!(book.jobs[&id].present(), 2);
-    book.drop_key("machine/r-1", Revision(9));
-    assert_eq!(book.jobs[&id].present(), 0);
+    cache.set("run/job-1/0", value, Revision(8));
+    assert_eq!(cache.jobs[&id].present(), 2);
+    cache.drop_key("machine/r-1", Revision(9));
+    assert_eq!(cache.jobs[&id].present(), 0);
 }
 
 #[test]
 fn waiting_tasks_are_neither_placed_nor_done() {
-    let mut book = Book::default();
-    book.set(
+    let mut cache = StateCache::default();
+    cache.set(
         "run/job-1/0",
         json!({"p": {"1": {"a": 1, "m": "vm-1", "s": 1}}, "d": [[3, 4]]}),
         Revision(5),
     );
     let rental = json!({"t": "x", "z": "z", "s": false, "at": 0, "m": {"vm-1": null}});
-    book.set("machine/r-1", rental, Revision(4));
-    let job = book.jobs.get_mut(&JobId::new("job-1")).expect("a job");
-    job.spec = Some(Kept {
-        mark: Revision(1),
+    cache.set("machine/r-1", rental, Revision(4));
+    let job = cache.jobs.get_mut(&JobId::new("job-1")).expect("a job");
+    job.spec = Some(Versioned {
+        revision: Revision(1),
         value: Arc::new(JobSpec {
             class: ClassName::new("c"),
             team: TeamName::new("t"),
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -150,7 +150,7 @@
 }
 
 fn check_records(version: &Version) {
-    let mut book = Book::default();
+    let mut cache = StateCache::default();
     let mut records = 0;
     let lines = version.data.lines();
     for line in lines.filter_map(|line| line.strip_prefix("RECORD ")) {
@@ -158,25 +158,25 @@
         let value: Value = serde_json::from_str(text).expect("JSON");
         records += 1;
         check_record(key, &value);
-        book.set(key, value, Revision(records));
+        cache.set(key, value, Revision(records));
     }
     let names_format = version.dialect >= Dialect::GANGS;
     assert_eq!(records, 11 + u64::from(names_format));
-    let job = &book.jobs[&JobId::new("job-000412")];
+    let job = &cache.jobs[&JobId::new("job-000412")];
     assert_eq!((job.placed, job.done, job.waiting()), (1, 2, 13));
     let placement = job.placement(3).expect("a placement");
     assert_eq!(placement.attempt, version.attempt);
-    assert!(book.catalog.is_some() && book.leader.is_some());
-    assert_eq!(book.format.is_some(), names_format);
-    assert_eq!((book.blocks.len(), book.rentals.len()), (1, 1));
-    assert!(book.fate(&JobId::new("job-000411")).is_some());
+    assert!(cache.catalog.is_some() && cache.leader.is_some());
+    assert_eq!(cache.format.is_some(), names_format);
+    assert_eq!((cache.blocks.len(), cache.rentals.len()), (1, 1));
+    assert!(cache.fate(&JobId::new("job-000411")).is_some());
 }
 
 fn check_record(key: &str, value: &Value) {
     match key.split('/').next().expect("a kind") {
         "spec" => same::<JobSpec>(key, value),
         "run" => same::<RunRecord>(key, value),
-        "fate" => same::<FateRecord>(key, value),
+        "fate" => same::<OutcomeRecord>(key, value),
         "drain" => same::<u32>(key, value),
         "seat" => same::<SeatRecord>(key, value),
         "block" => same::<BlockRecord>(key, value),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -507,8 +507,9 @@
             .iter()
             .filter_map(|(name, slot)| Some((name, slot.running.as_ref()?)))
             .find(|(name, running)| {
-                let book = running.node.store.book();
-                book.leader
+                let cache = running.node.store.cache();
+                cache
+                    .leader
                     .as_ref()
                     .is_some_and(|kept| kept.value.node.as_str() == name.as_str())
             })
--- a/tests/book.rs
+++ b/tests/state_cache.rs
@@ -20,14 +20,14 @@
 }
 
 /// A gang of three with this run record; only vm-1 and vm-2 are ours to pay for.
-fn gang(run: Value) -> Book {
-    let mut book = Book::default();
+fn gang(run: Value) -> StateCache {
+    let mut cache = StateCache::default();
     let machines = json!({"vm-1": null, "vm-2": null});
     let rental = json!({"t": "x", "z": "z", "s": false, "at": 0, "m": machines});
-    book.set("machine/r-1", rental, Revision(1));
-    book.set("spec/job-1", spec(3), Revision(2));
-    book.set("run/job-1/0", run, Revision(3));
-    book
+    cache.set("machine/r-1", rental, Revision(1));
+    cache.set("spec/job-1", spec(3), Revision(2));
+    cache.set("run/job-1/0", run, Revision(3));
+    cache
 }
 
 /// Guards against tasks of a gang that get different attempts and never find each
@@ -50,8 +50,8 @@
         (json!({"w": {"0": 2, "1": 5}}), true, 6),
         (json!({"p": {"1": on("vm-9", 7)}, "w": {"0": 2}}), true, 8),
     ] {
-        let book = gang(run.clone());
-        let job = &book.jobs[&id(1)];
+        let cache = gang(run.clone());
+        let job = &cache.jobs[&id(1)];
         assert_eq!(job.may_join(), joins, "{run}");
         assert_eq!(job.gang_attempt(), Attempt(attempt), "{run}");
     }
@@ -61,21 +61,21 @@
 /// what the peer had seen.
 #[test]
 fn what_peers_say_is_cancelled_holds_until_it_is_read() {
-    let mut book = gang(json!({"p": {"0": on("vm-1", 1)}}));
-    book.advance(Revision(5));
-    assert_eq!(book.note_cancelled(vec![id(1), id(2)], Revision(9)), 1);
-    assert!(book.is_cancelled(&id(1)) && !book.is_cancelled(&id(2)));
-    assert_eq!(book.note_cancelled(vec![id(1)], Revision(9)), 0, "known");
+    let mut cache = gang(json!({"p": {"0": on("vm-1", 1)}}));
+    cache.advance(Revision(5));
+    assert_eq!(cache.note_cancelled(vec![id(1), id(2)], Revision(9)), 1);
+    assert!(cache.is_cancelled(&id(1)) && !cache.is_cancelled(&id(2)));
+    assert_eq!(cache.note_cancelled(vec![id(1)], Revision(9)), 0, "known");
     // It is passed on to others that ask.
-    assert_eq!(book.cancelled_since(Revision(5)), vec![id(1)]);
-    book.advance(Revision(8));
-    assert!(book.is_cancelled(&id(1)));
-    book.set("drain/job-1", json!(1), Revision(9));
-    book.advance(Revision(9));
-    assert!(book.is_cancelled(&id(1)));
-    assert_eq!(book.told_cancelled().count(), 0);
-    assert_eq!(book.cancelled_since(Revision(8)), vec![id(1)]);
-    assert!(book.cancelled_since(Revision(9)).is_empty());
+    assert_eq!(cache.cancelled_since(Revision(5)), vec![id(1)]);
+    cache.advance(Revision(8));
+    assert!(cache.is_cancelled(&id(1)));
+    cache.set("drain/job-1", json!(1), Revision(9));
+    cache.advance(Revision(9));
+    assert!(cache.is_cancelled(&id(1)));
+    assert_eq!(cache.told_cancelled().count(), 0);
+    assert_eq!(cache.cancelled_since(Revision(8)), vec![id(1)]);
+    assert!(cache.cancelled_since(Revision(9)).is_empty());
     // Words that are older than what we have read say nothing.
-    assert_eq!(book.note_cancelled(vec![id(1)], Revision(7)), 0);
+    assert_eq!(cache.note_cancelled(vec![id(1)], Revision(7)), 0);
 }
