--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -109,3 +109,13 @@
     assert_eq!((wrong.next_rps, wrong.next_write_rps), (200.0, 80.0));
     assert_eq!(state(r#"{"txn_ops": 5.0}"#).txn_ops, 5);
 }
+
+/// The example that the README tells newcomers to try.
+#[test]
+fn the_shipped_example_is_valid() {
+    let settings = Settings::parse(include_str!("../deploy/example-settings.json"));
+    let settings = settings.expect("valid");
+    assert_eq!(settings.warnings(), [""; 0]);
+    let state = settings.config(Incarnation(1), Tuning::default()).state;
+    assert_eq!((state.txn_ops, state.next_write_rps), (8, 30.0));
+}
