--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -52,6 +52,10 @@
 pub(super) const LEAST_FILL: f64 = 0.6;
 const CHEAP: f64 = 1.6;
 
+/// However short a task, it takes a part of its machine's paid time: start, report and
+/// the record of its end.
+const LEAST_PART: f64 = 0.05;
+
 /// What a job with waiting tasks needs of the market.
 struct Demand {
     spec: Arc<JobSpec>,
@@ -64,6 +68,8 @@
     pub refused: &'a BTreeMap<Place, Refusal>,
     pub now: Instant,
     pub k: f64,
+    /// The least time that a machine is paid for.
+    pub paid: Duration,
 }
 
 impl Market<'_> {
@@ -251,13 +257,27 @@
                 if self.is_pressing(waiting, spec, kind.rate(pool.spot)) {
                     pressing.insert(pool.clone());
                 }
-                *need.entry(pool).or_default() += f64::from(tasks) / f64::from(per);
+                let machines = f64::from(tasks) / f64::from(per);
+                *need.entry(pool).or_default() += machines * self.part_of_period(spec);
             }
         }
         need.retain(|pool, machines| *machines >= LEAST_FILL || pressing.contains(pool));
         need
     }
 
+    /// The part of a machine's least paid period for which a task of the job takes its
+    /// room. Work of the lowest priority is in no hurry: its short tasks follow one
+    /// another on few machines. Rented for as if all were to run at once, an array of
+    /// thousands of tasks of a few seconds brings a fleet that is idle right after
+    /// (exception to section 5.4, see docs/DESIGN.md).
+    fn part_of_period(&self, spec: &JobSpec) -> f64 {
+        if spec.priority != Priority::BestEffort || spec.kind != JobKind::Array {
+            return 1.0;
+        }
+        let part = spec.estimate.as_secs_f64() / self.paid.as_secs_f64().max(1.0);
+        part.clamp(LEAST_PART, 1.0)
+    }
+
     /// Whether tasks get a machine that they do not fill.
     fn is_pressing(&self, waiting: &Unplaced, spec: &JobSpec, rate: f64) -> bool {
         rate <= self.least_rate(spec) * CHEAP
--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -65,6 +65,7 @@
             refused: &refused,
             now,
             k: tuning.suitability_k,
+            paid: tuning.paid.first,
         };
         stats.starve(unplaced.iter().map(|item| &item.job), now);
         stats.observe(
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use stallcove::{
     coordination::{Node, Tuning},
     protocol::{operator, settings::Settings},
-    storage::{Incarnation, NodeName},
+    storage::{Incarnation, NodeName, Team},
     transport::{
         Network,
         http::HttpNetwork,
@@ -147,6 +147,7 @@
         stop.clone(),
     );
     tracing::info!(node = %node.config.node, zone = %node.config.zone, %incarnation, "started");
+    log_teams(&node.config.teams);
     let mut duties: JoinSet<&'static str> = JoinSet::new();
     node.start(&mut duties);
     {
@@ -179,6 +180,13 @@
     })
 }
 
+/// What each team is guaranteed, and what it may use at most.
+fn log_teams(teams: &[Team]) {
+    for team in teams {
+        tracing::info!(team = %team.name, guaranteed = ?team.guaranteed, limit = ?team.limit, "team");
+    }
+}
+
 /// How often the sockets in use are logged.
 const SOCKETS_EVERY: Duration = Duration::from_secs(10);
 
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -321,10 +321,7 @@
                         cpus: team.cpus,
                         gpus: team.gpus,
                     },
-                    limit: Quota {
-                        cpus: team.cpus_max,
-                        gpus: team.gpus_max,
-                    },
+                    limit: Quota::of_limit(team.cpus_max, team.gpus_max),
                 })
                 .collect(),
             objectives: inner
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -84,6 +84,20 @@
 }
 
 impl Quota {
+    /// Stands for "no limit" in sums and in stored budgets, which hold plain numbers:
+    /// far above any fleet, and small enough for exact sums of a task's amounts.
+    pub const UNLIMITED: f64 = 1e9;
+
+    /// A team's limit as the settings say it, where zero means that there is none.
+    /// Read as "may use nothing", every job of a team without a limit was refused.
+    pub fn of_limit(cpus: f64, gpus: f64) -> Self {
+        let limit = |most: f64| if most > 0.0 { most } else { Self::UNLIMITED };
+        Self {
+            cpus: limit(cpus),
+            gpus: limit(gpus),
+        }
+    }
+
     pub fn covers(&self, used: &Quota) -> bool {
         used.cpus <= self.cpus + AMOUNT_SLACK && used.gpus <= self.gpus + AMOUNT_SLACK
     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -146,14 +146,13 @@
                 "old" => script.version = Version::named(rest.first().copied()),
                 "team" => {
                     let words = words(&rest[1..]);
-                    let quota = |name| Quota {
-                        cpus: number(&words, name, 0.0),
-                        gpus: 0.0,
-                    };
                     script.teams.push(Team {
                         name: TeamName::new(rest[0]),
-                        guaranteed: quota("guaranteed"),
-                        limit: quota("limit"),
+                        guaranteed: Quota {
+                            cpus: number(&words, "guaranteed", 0.0),
+                            gpus: 0.0,
+                        },
+                        limit: Quota::of_limit(number(&words, "limit", 0.0), 0.0),
                     });
                 }
                 "type" => {
