Jobs that fail everywhere are blamed before their machines; idle work gives way

Now a job is to blame that has failed on several machines, here or at other holders as its records show, while nothing of it was ever done; it is retried with one task after pauses that grow by attempts; a machine is suspect for 8 s before it goes.

--- /dev/null
+++ b/src/coordination/holder/failing.rs
@@ -0,0 +1,134 @@
+//! Jobs whose tasks fail: how long they pause, and whether they or their machines are to
+//! blame.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    coordination::view::FAILURE_WINDOW,
+    storage::{JobId, MachineId, StateCache},
+};
+
+/// Failing jobs remembered; beyond this the one whose pause ends first is forgotten, and
+/// is tried again sooner.
+const JOBS_KEPT: usize = 1_024;
+/// Machines of one failing job remembered: more than it takes to blame it.
+const MACHINES_KEPT: usize = 16;
+/// A job of which nothing has ever been done is to blame once it has failed on so many
+/// machines.
+const BLAMED_AFTER: usize = 2;
+/// The longest pause between two attempts. Well below 90 s, so that a job that can run
+/// again does not wait that long beside free room.
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// A job that is to blame is tried with one task for this long after its pause.
+const PROBED_FOR: Duration = Duration::from_secs(15);
+
+/// Pause before a job that failed is tried again: 1 s, 2 s, 4 s … 60 s.
+fn failure_pause(rounds: u32) -> Duration {
+    Duration::from_secs(1 << rounds.saturating_sub(1).min(6)).min(LONGEST_PAUSE)
+}
+
+#[derive(Debug)]
+struct Failing {
+    machines: BTreeSet<MachineId>,
+    /// Failures seen here.
+    failures: u64,
+    /// Attempts that failed; tasks that were tried together count once.
+    rounds: u32,
+    until: Instant,
+    /// Its user submitted it with a mistake, as far as can be told: machines are not
+    /// judged by it. Remembered when the job is over, as long as its failures count.
+    blamed: bool,
+}
+
+/// The jobs that have failed lately on the machines of one holder.
+#[derive(Debug, Default)]
+pub(super) struct FailingJobs(BTreeMap<JobId, Failing>);
+
+impl FailingJobs {
+    /// A task of the job has failed on this machine.
+    pub(super) fn failed(&mut self, job: &JobId, machine: &MachineId, now: Instant) {
+        self.make_room(now);
+        let failing = self.0.entry(job.clone()).or_insert(Failing {
+            machines: BTreeSet::new(),
+            failures: 0,
+            rounds: 0,
+            until: now,
+            blamed: false,
+        });
+        if failing.machines.len() < MACHINES_KEPT {
+            failing.machines.insert(machine.clone());
+        }
+        failing.failures += 1;
+        if failing.until <= now {
+            failing.rounds += 1;
+            failing.until = now + failure_pause(failing.rounds);
+        }
+    }
+
+    /// A task of the job has completed: it need not pause any more.
+    pub(super) fn succeeded(&mut self, job: &JobId) {
+        self.0.remove(job);
+    }
+
+    /// Finds the jobs that are to blame themselves. Other holders' failures show in the
+    /// job's records: more attempts have ended there than failed here.
+    pub(super) fn judge(&mut self, cache: &StateCache) {
+        for (id, failing) in self.0.iter_mut().filter(|(_, failing)| !failing.blamed) {
+            let Some(job) = cache.jobs.get(id) else {
+                continue;
+            };
+            let records = job.chunks.values().map(|kept| &kept.value);
+            let ended: u64 = records
+                .flat_map(|record| record.before.values())
+                .map(|attempt| attempt.0)
+                .sum();
+            let elsewhere = failing.machines.len() >= BLAMED_AFTER || ended > failing.failures;
+            failing.blamed = job.done == 0 && elsewhere;
+        }
+    }
+
+    pub(super) fn is_blamed(&self, job: &JobId) -> bool {
+        self.0.get(job).is_some_and(|failing| failing.blamed)
+    }
+
+    /// Whether only one task of the job may be there at a time: the others would most
+    /// probably fail with it.
+    pub(super) fn is_probed(&self, job: &JobId, now: Instant) -> bool {
+        let failing = self.0.get(job);
+        failing.is_some_and(|failing| failing.blamed && now < failing.until + PROBED_FOR)
+    }
+
+    /// The jobs that fail on several machines, with what is left of their pauses; none is
+    /// left while a job is probed.
+    pub(super) fn paused(&self, now: Instant) -> Vec<(JobId, Duration)> {
+        let several = self.0.iter().filter(|(job, failing)| {
+            let is_paused = failing.machines.len() >= BLAMED_AFTER && failing.until > now;
+            is_paused || self.is_probed(job, now)
+        });
+        several
+            .map(|(job, failing)| (job.clone(), failing.until.saturating_duration_since(now)))
+            .collect()
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.0.len() < JOBS_KEPT {
+            return;
+        }
+        self.0
+            .retain(|_, failing| now < failing.until + FAILURE_WINDOW);
+        if self.0.len() >= JOBS_KEPT {
+            let first = self.0.iter().min_by_key(|(_, failing)| failing.until);
+            if let Some(job) = first.map(|(job, _)| job.clone()) {
+                self.0.remove(&job);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/holder/mod.rs
+++ b/src/coordination/holder/mod.rs
@@ -4,12 +4,11 @@
 
 mod change;
 mod commits;
+mod failing;
 mod orders;
 mod placing;
 mod results;
 mod stopping;
-#[cfg(test)]
-mod tests;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,6 +17,7 @@
 };
 
 use change::Changes;
+use failing::FailingJobs;
 use tokio::time::Instant;
 
 use crate::{
@@ -50,19 +50,6 @@
     until: Instant,
 }
 
-/// A job whose tasks fail.
-#[derive(Debug)]
-struct Failing {
-    machines: BTreeSet<MachineId>,
-    count: u32,
-    until: Instant,
-}
-
-/// Pause before a task that failed is tried again: 1 s, 2 s, 4 s … 60 s.
-fn failure_pause(count: u32) -> Duration {
-    Duration::from_secs(1 << count.saturating_sub(1).min(6)).min(Duration::from_secs(60))
-}
-
 /// What is known of a task of ours that is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskOutcome {
@@ -82,7 +69,7 @@
     pub(super) preempting: BTreeMap<TaskId, Attempt>,
     /// Jobs with results to be written, since when.
     results: BTreeMap<JobId, Instant>,
-    failing: BTreeMap<JobId, Failing>,
+    failing: FailingJobs,
     /// The outcome of a commit is unknown: nothing is placed before the seat
     /// has a new revision, which voids whatever may still be on its way.
     must_void_pending: bool,
@@ -94,26 +81,14 @@
         (self.views.len(), self.offers.len(), self.results.len())
     }
 
+    /// Jobs that fail on several machines, with what is left of their pauses.
     pub(super) fn failing(&self, now: Instant) -> Vec<(JobId, Duration)> {
-        self.failing
-            .iter()
-            .filter(|(_, failing)| failing.machines.len() > 1 && failing.until > now)
-            .map(|(job, failing)| (job.clone(), failing.until - now))
-            .collect()
+        self.failing.paused(now)
     }
 
-    fn note_failure(&mut self, task: &TaskId, machine: &MachineId, now: Instant) {
-        if self.failing.len() >= 512 {
-            self.failing.retain(|_, failing| failing.until > now);
-        }
-        let failing = self.failing.entry(task.job.clone()).or_insert(Failing {
-            machines: BTreeSet::new(),
-            count: 0,
-            until: now,
-        });
-        failing.machines.insert(machine.clone());
-        failing.count += 1;
-        failing.until = now + failure_pause(failing.count);
+    /// Whether the machine itself seems to be the cause of what failed on it.
+    fn is_suspect(&self, view: &View, now: Instant) -> bool {
+        view.is_suspect(now, |job| self.failing.is_blamed(job))
     }
 }
 
@@ -166,7 +141,7 @@
                 machine: id.clone(),
                 silent: view.silent(now),
                 unreachable: view.unreachable,
-                suspect: view.is_suspect(now),
+                suspect: state.is_suspect(view, now),
                 leaving: view.leaves_at.is_some(),
                 deaf: view.is_deaf(self.config.deaf_after(), now),
                 address: view
@@ -244,6 +219,7 @@
             };
             let mut state = lock(&self.holder);
             let now = Instant::now();
+            state.failing.judge(&cache);
             let mut changes = Changes::default();
             if wait.is_none() {
                 self.collect_results(&mut state, &cache, now, &mut changes);
--- a/src/coordination/holder/placing.rs
+++ b/src/coordination/holder/placing.rs
@@ -127,7 +127,7 @@
                 || view.unreachable
                 || view.unsettled.is_some()
                 || view.leaves_at.is_some()
-                || view.is_suspect(now)
+                || state.is_suspect(view, now)
                 || view.is_deaf(patience, now)
             {
                 continue;
@@ -179,7 +179,10 @@
             used: cache.quota_used(machines),
         };
         for offered in offered_jobs(state, cache) {
-            let tasks = offered.unplaced(state, changes);
+            let mut tasks = offered.unplaced(state, changes);
+            if state.failing.is_probed(offered.id, now) {
+                tasks.truncate(usize::from(offered.job.present() == 0));
+            }
             if offered.spec.kind == JobKind::Gang && (tasks.is_empty() || !offered.job.may_join()) {
                 continue;
             }
--- a/src/coordination/holder/results.rs
+++ b/src/coordination/holder/results.rs
@@ -14,6 +14,9 @@
     storage::{Attempt, MachineId, StateCache, TaskId, records::Placement, state_cache},
 };
 
+/// A machine on which a job has failed does not get it again for this long.
+const REFUSED_FOR: Duration = Duration::from_secs(60);
+
 impl Node {
     /// Whether a placed task of ours is over, as far as its machine's view tells.
     pub(super) fn outcome(
@@ -181,6 +184,8 @@
             return;
         };
         if exit == Exit::Done {
+            // It can run: whatever failed before was not the job's own fault.
+            state.failing.succeeded(&task.job);
             let spec = cache.jobs.get(&task.job).and_then(|job| job.spec());
             let since = view.tasks.get(task).and_then(|seen| seen.running_since);
             if let (Some(spec), Some(since)) = (spec, since)
@@ -198,13 +203,15 @@
         match exit {
             Exit::Failed => {
                 view.note_failure(&task.job, now);
-                view.refuse(&task.job, now + Duration::from_secs(60), now);
-                state.note_failure(task, machine, now);
+                if !state.failing.is_blamed(&task.job) {
+                    view.refuse(&task.job, now + REFUSED_FOR, now);
+                }
+                state.failing.failed(&task.job, machine, now);
             }
             // Something is on the machine that we do not know of yet.
             Exit::NoRoom | Exit::Busy => view.refuse(&task.job, now + Duration::from_secs(3), now),
             // Its user has not uploaded the description yet, or never will.
-            Exit::Unknown => state.note_failure(task, machine, now),
+            Exit::Unknown => state.failing.failed(&task.job, machine, now),
             Exit::Stopped | Exit::Other | Exit::Done => {}
         }
     }
--- a/src/coordination/leader/fleet/faults.rs
+++ b/src/coordination/leader/fleet/faults.rs
@@ -30,6 +30,10 @@
 /// A silent machine that another controller reaches is left alone this long.
 pub(super) const FOUND_UP: Duration = Duration::from_secs(3);
 
+/// A machine is suspect for this long before it goes: what failed on it is tried
+/// elsewhere meanwhile, which shows whether the jobs are to blame.
+pub(super) const SUSPECT_FOR: Duration = Duration::from_secs(8);
+
 /// A suspect machine's tasks are left this long to end by themselves.
 pub(super) const EMPTY_AFTER: Duration = Duration::from_secs(15);
 
@@ -139,6 +143,7 @@
         let mut silent = Vec::new();
         let mut deaf = Vec::new();
         let mut refusing = BTreeSet::new();
+        let mut suspects = BTreeMap::new();
         let mut unreachable = 0;
         // Ordinary machines of each zone, and how many of them nobody reaches.
         let mut zones: BTreeMap<&ZoneName, (usize, usize)> = BTreeMap::new();
@@ -218,7 +223,11 @@
                         refusing.insert(id.clone());
                     }
                     if held.suspect {
-                        found.push((id.clone(), Reason::Suspect));
+                        let since = state.fleet.suspects.get(id).copied().unwrap_or(now);
+                        suspects.insert(id.clone(), since);
+                        if now.duration_since(since) > SUSPECT_FOR {
+                            found.push((id.clone(), Reason::Suspect));
+                        }
                     }
                     if held.deaf {
                         deaf.push(id.clone());
@@ -282,6 +291,7 @@
                 });
             }
         }
+        state.fleet.suspects = suspects;
         self.look_from_others(state, to_reach, now);
         state.stranded = Self::move_lost_blocks(cache, state, stranded, now);
         state.fleet.refusing = refusing;
--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use tokio::time::Instant;
@@ -56,10 +56,27 @@
 /// the record of its end.
 const LEAST_PART: f64 = 0.05;
 
+/// Idle work of which nothing runs after this time gets ordinary machines as well, since
+/// there may never be a spot machine.
+const SPOT_ONLY: Duration = Duration::from_secs(120);
+
 /// What a job with waiting tasks needs of the market.
-struct Demand {
+pub struct Demand {
     spec: Arc<JobSpec>,
     constraint: ZoneConstraint,
+    /// No ordinary machines: idle work is rented the cheap ones that it may use.
+    spot_only: bool,
+}
+
+impl Demand {
+    /// A job of which nothing runs yet, wherever it may run.
+    pub fn of_spec(spec: &Arc<JobSpec>) -> Self {
+        Self {
+            spec: spec.clone(),
+            constraint: ZoneConstraint::of_job(spec),
+            spot_only: false,
+        }
+    }
 }
 
 /// What renting looks at.
@@ -68,6 +85,8 @@
     pub refused: &'a BTreeMap<Place, Refusal>,
     pub now: Instant,
     pub k: f64,
+    /// The time of day, by which jobs age.
+    pub wall: SystemTime,
     /// The least time that a machine is paid for.
     pub paid: Duration,
 }
@@ -81,27 +100,22 @@
 
     /// The pools that suit waiting tasks of a job best (paper, section 5.2). Those of a
     /// job that is bound to zones go to several, as far as its constraint admits them.
-    pub fn suited(
-        &self,
-        spec: &JobSpec,
-        tasks: u32,
-        mut constraint: ZoneConstraint,
-        only_available: bool,
-    ) -> Vec<Suited> {
+    pub fn suited(&self, mut demand: Demand, tasks: u32, only_available: bool) -> Vec<Suited> {
+        let spec = demand.spec.clone();
         let by_zone = spec.is_zone_bound() || spec.zone.is_some();
         let mut suited = Vec::new();
         let mut left = tasks.max(1);
         while left > 0 {
-            let places = self.places(spec, &constraint, only_available);
-            let Some(mut pool) = self.best_place(spec, left, places, by_zone) else {
+            let places = self.places(&demand, only_available);
+            let Some(mut pool) = self.best_place(&spec, left, places, by_zone) else {
                 break;
             };
             let tasks = match pool.zone.as_ref().filter(|_| by_zone) {
-                Some(zone) => left.min(constraint.room(zone)),
+                Some(zone) => left.min(demand.constraint.room(zone)),
                 None => left,
             };
             match pool.zone.as_ref().filter(|_| by_zone) {
-                Some(zone) => constraint.add_tasks(zone, tasks),
+                Some(zone) => demand.constraint.add_tasks(zone, tasks),
                 None => pool.zone = None,
             }
             left -= tasks;
@@ -112,12 +126,10 @@
 
     /// Where machines for one more of the job's tasks may be, the zones with fewest
     /// machines first.
-    fn places(
-        &self,
-        spec: &JobSpec,
-        constraint: &ZoneConstraint,
-        only_available: bool,
-    ) -> Vec<(&MachineType, Place)> {
+    fn places(&self, demand: &Demand, only_available: bool) -> Vec<(&MachineType, Place)> {
+        let Demand {
+            spec, constraint, ..
+        } = demand;
         let types = self.cache.catalog.iter().flat_map(|kept| &kept.value.types);
         let types =
             types.filter(|kind| spec.per_task.fits_in(&kind.size) && spec.allows_type(&kind.name));
@@ -127,6 +139,7 @@
                 for spot in [true, false] {
                     let place = (kind.name.clone(), zone.clone(), spot);
                     if (!spot || spec.spot)
+                        && (spot || !demand.spot_only)
                         && spec.allows_zone(zone)
                         && constraint.admits(zone)
                         && (!only_available || self.available(&place))
@@ -187,10 +200,13 @@
         let job = self.cache.jobs.get(&waiting.job)?;
         let spec = job.spec()?;
         let constraint = zones::of_job(self.cache, job);
+        let is_served = job.present() > 0 || spec.age(self.wall) < SPOT_ONLY;
+        let spot_only = spec.is_idle_work() && spec.spot && is_served;
         if spec.home.is_none() || job.present() > 0 {
             return Some(Demand {
                 spec: spec.clone(),
                 constraint,
+                spot_only,
             });
         }
         // Nothing of it is there yet: it moves to where machines are to be had, since
@@ -202,15 +218,16 @@
         Some(Demand {
             constraint: ZoneConstraint::of_job(&anywhere),
             spec: Arc::new(anywhere),
+            spot_only,
         })
     }
 
     /// The pools for those of a job's waiting tasks that the available places take.
     pub fn suited_waiting(&self, waiting: &Unplaced) -> Vec<Suited> {
-        let Some(Demand { spec, constraint }) = self.demand(waiting) else {
+        let Some(demand) = self.demand(waiting) else {
             return Vec::new();
         };
-        self.suited(&spec, waiting.tasks, constraint, true)
+        self.suited(demand, waiting.tasks, true)
     }
 
     /// The price of the cheapest machine that the job may run on, to be had or not.
@@ -237,19 +254,15 @@
         let mut need: BTreeMap<Pool, f64> = BTreeMap::new();
         let mut pressing: BTreeSet<Pool> = BTreeSet::new();
         for waiting in unplaced {
-            let Some(Demand {
-                spec,
-                mut constraint,
-            }) = self.demand(waiting)
-            else {
+            let Some(mut demand) = self.demand(waiting) else {
                 continue;
             };
-            let spec = &*spec;
-            let left = fill_booting(spec, waiting.tasks, booting, &mut constraint);
+            let spec = &*demand.spec.clone();
+            let left = fill_booting(spec, waiting.tasks, booting, &mut demand.constraint);
             if left == 0 {
                 continue;
             }
-            for Suited { pool, tasks } in self.suited(spec, left, constraint, true) {
+            for Suited { pool, tasks } in self.suited(demand, left, true) {
                 let Some(kind) = self.cache.machine_type(&pool.kind) else {
                     continue;
                 };
@@ -271,7 +284,7 @@
     /// thousands of tasks of a few seconds brings a fleet that is idle right after
     /// (exception to section 5.4, see docs/DESIGN.md).
     fn part_of_period(&self, spec: &JobSpec) -> f64 {
-        if spec.priority != Priority::BestEffort || spec.kind != JobKind::Array {
+        if !spec.is_idle_work() {
             return 1.0;
         }
         let part = spec.estimate.as_secs_f64() / self.paid.as_secs_f64().max(1.0);
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -75,6 +75,8 @@
     last_list: Option<Instant>,
     /// Machines that no task is routed to now.
     refusing: BTreeSet<MachineId>,
+    /// Machines on which several jobs have failed, since when.
+    suspects: BTreeMap<MachineId, Instant>,
     /// Silent machines being looked at by all controllers, or lately found up.
     verifying: BTreeMap<MachineId, Instant>,
     /// Machines heard by others than their holder, and who reaches them.
--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 
-use super::market::{Market, booting_slots, empty_slot, used_machines};
+use super::market::{Demand, Market, booting_slots, empty_slot, used_machines};
 use crate::{
     coordination::{
         leader::{
@@ -17,7 +17,7 @@
             routing::Unplaced,
         },
         node::Node,
-        policy::{band, giveback, remedial, zones::ZoneConstraint},
+        policy::{band, giveback, remedial},
     },
     storage::{MachineId, StateCache},
 };
@@ -65,6 +65,7 @@
             refused: &refused,
             now,
             k: tuning.suitability_k,
+            wall,
             paid: tuning.paid.first,
         };
         stats.starve(unplaced.iter().map(|item| &item.job), now);
@@ -75,8 +76,7 @@
             tuning.start_target,
             tuning.window,
             |spec| {
-                let whole = ZoneConstraint::of_job(spec);
-                let suited = market.suited(spec, spec.tasks, whole, false);
+                let suited = market.suited(Demand::of_spec(spec), spec.tasks, false);
                 suited.into_iter().next().map(|suited| suited.pool)
             },
         );
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -61,8 +61,10 @@
     statuses: BTreeMap<NodeName, Told>,
     offered: routing::Offered,
     clearing: routing::Clearing,
+    reclaiming: routing::Reclaiming,
     bound: routing::Bound,
     gangs: routing::Gangs,
+    lapsed: routing::Lapsed,
     /// When the zone of a job was last written or taken back.
     homes: BTreeMap<JobId, Instant>,
     unplaced: Vec<routing::Unplaced>,
@@ -497,8 +499,10 @@
                 fleet,
                 offered,
                 clearing,
+                reclaiming,
                 bound,
                 gangs,
+                lapsed,
                 ..
             } = &mut *state;
             let mut failing: BTreeMap<JobId, Instant> = BTreeMap::new();
@@ -540,8 +544,10 @@
                 ),
                 offered,
                 clearing,
+                reclaiming,
                 bound,
                 gangs,
+                lapsed,
                 failing: &failing,
                 changes_per_transaction: self.config.state.txn_ops,
                 start_target: self.config.tuning.start_target,
--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -6,10 +6,12 @@
 mod open;
 mod preemption;
 mod quota;
+mod reclaim;
 mod records;
 mod standing;
 mod unplaced;
 pub use open::{Open, Usage, open_machines};
+pub use reclaim::Reclaiming;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -70,6 +72,8 @@
     pub preempt: BTreeMap<NodeName, Vec<TaskId>>,
     /// Replicas for which room was looked for.
     cleared: usize,
+    /// Tasks of the lowest priority that are told to stop.
+    reclaimed: usize,
     /// Tasks in the offers.
     offered: usize,
     /// CPUs that are free and waited for.
@@ -116,8 +120,11 @@
     pub open: Open,
     pub offered: &'a mut Offered,
     pub clearing: &'a mut Clearing,
+    pub reclaiming: &'a mut Reclaiming,
     pub bound: &'a mut Bound,
     pub gangs: &'a mut Gangs,
+    pub lapsed: &'a mut Lapsed,
+    /// Jobs that fail wherever they are tried, and until when they pause.
     pub failing: &'a BTreeMap<JobId, Instant>,
     /// Changes in a transaction, which decide what zone-bound placements depend on.
     pub changes_per_transaction: usize,
@@ -137,6 +144,13 @@
 /// was last told to leave.
 pub type Gangs = BTreeMap<JobId, (Instant, Option<Instant>)>;
 
+/// The holder that last let an offer of the job lapse, and when. Its machines may refuse
+/// the job after a failure, which the leader does not know.
+pub type Lapsed = BTreeMap<JobId, (NodeName, Instant)>;
+
+/// A lapsed offer says nothing any more after this long.
+const LAPSED_LIFE: Duration = Duration::from_secs(30);
+
 /// After this long such a record gets a second writer, if another has room.
 const SHARED_AFTER: Duration = Duration::from_secs(4);
 
@@ -191,6 +205,7 @@
             .retain(|_, since| now.duration_since(*since) < CLEARING);
         let jobs = &self.cache.jobs;
         self.gangs.retain(|id, _| jobs.contains_key(id));
+        self.reclaiming.begin_pass(now);
         self.bound
             .retain(|_, since| now.duration_since(*since) < SHARED_AFTER * 3);
         let cache = self.cache;
@@ -219,13 +234,16 @@
     }
 
     /// As [`Self::route_job`] for a job that has no room anywhere.
-    fn count_unplaced(&self, candidate: &Candidate<'_>, used: &mut Used, routed: &mut Routed) {
+    fn count_unplaced(&mut self, candidate: &Candidate<'_>, used: &mut Used, routed: &mut Routed) {
         let Candidate { id, spec, job, .. } = candidate;
         let under_way = self.offered.get(*id).map_or(0, BTreeMap::len);
         let tasks = (job.waiting() as usize).saturating_sub(under_way);
         let quota = Quota::of(&spec.per_task);
         let within = left(&self.limit(spec), &used.all(&spec.team), &quota);
-        self.note_unplaced(candidate, tasks.min(within) as u32, used, routed);
+        let most = if self.is_probed(id) { 1 } else { tasks };
+        let tasks = tasks.min(within).min(most);
+        let reclaimed = self.reclaim_room(candidate, tasks, routed);
+        self.note_unplaced(candidate, (tasks - reclaimed) as u32, used, routed);
     }
 
     fn limit(&self, spec: &JobSpec) -> Quota {
@@ -240,14 +258,19 @@
     /// quota of the others is set aside.
     fn settle_offers(&mut self, used: &mut Used) {
         let (cache, now, life) = (self.cache, self.now, self.offer_life);
+        let lapsed = &mut *self.lapsed;
+        lapsed.retain(|_, (_, at)| now.duration_since(*at) < LAPSED_LIFE);
         self.offered.retain(|id, tasks| {
             let Some(job) = cache.jobs.get(id) else {
                 return false;
             };
             tasks.retain(|task, offered| {
-                now.duration_since(offered.at) < life
-                    && job.placement(*task).is_none()
-                    && !job.is_task_done(*task)
+                let waits = job.placement(*task).is_none() && !job.is_task_done(*task);
+                let is_open = now.duration_since(offered.at) < life;
+                if waits && !is_open {
+                    lapsed.insert(id.clone(), (offered.node.clone(), now));
+                }
+                waits && is_open
             });
             !tasks.is_empty()
         });
@@ -288,6 +311,9 @@
             .filter_map(|id| {
                 let job = cache.jobs.get(id)?;
                 let spec = job.spec()?;
+                if self.is_probed(id) && (job.present() > 0 || self.offered.contains_key(id)) {
+                    return None;
+                }
                 let borrows = self
                     .teams
                     .iter()
@@ -311,6 +337,12 @@
         candidates
     }
 
+    /// Whether the job fails wherever it is tried, so that one task of it is tried at a
+    /// time: offers of all of them, which no holder takes, would keep room from others.
+    fn is_probed(&self, id: &JobId) -> bool {
+        self.failing.contains_key(id)
+    }
+
     /// How many more tasks the holder's budget for the job's team allows.
     fn budget_left(&self, group: usize, spec: &JobSpec, used: &Used) -> usize {
         let budget = self
@@ -348,6 +380,9 @@
         if tasks.is_empty() {
             return;
         }
+        if self.is_probed(id) && !gang {
+            tasks.truncate(1);
+        }
         let quota = Quota::of(&spec.per_task);
         let within = left(&self.limit(spec), &used.all(&spec.team), &quota);
         if within < tasks.len() {
--- a/src/coordination/leader/routing/records.rs
+++ b/src/coordination/leader/routing/records.rs
@@ -32,6 +32,17 @@
         nodes.into_iter().filter_map(position).collect()
     }
 
+    /// The holder that let an offer of these tasks lapse, if they have ended without a
+    /// result before and there are other holders. Two such jobs with room at two holders
+    /// would keep each other's only other place for good.
+    fn lapsed_at(&self, id: &JobId, job: &Job, tasks: &[u32]) -> Option<usize> {
+        let (node, _) = self.lapsed.get(id)?;
+        let record = &job.chunks.get(&(tasks.first()? / keys::CHUNK))?.value;
+        let is_again = tasks.iter().any(|task| record.before.contains_key(task));
+        let group = self.open.nodes.iter().position(|other| other == node);
+        group.filter(|_| is_again && self.open.nodes.len() > 1)
+    }
+
     /// The tasks of each record go to one holder as far as it has room: each
     /// further holder would write the same record, and changes of the state
     /// service are scarce. Within a holder by least estimated completion.
@@ -60,6 +71,9 @@
                     .get(&key)
                     .is_none_or(|since| self.now.duration_since(*since) < SHARED_AFTER);
             let mut fits = placement::compare_groups(spec, &self.open.slots, factor, rest.len());
+            if let Some(group) = self.lapsed_at(id, job, rest) {
+                fits.remove(&group);
+            }
             while !rest.is_empty() {
                 for (group, fit) in &mut fits {
                     fit.tasks = fit.tasks.min(self.budget_left(*group, spec, used));
--- a/src/coordination/leader/routing/unplaced.rs
+++ b/src/coordination/leader/routing/unplaced.rs
@@ -36,7 +36,8 @@
             }
             unplaced += 1;
         }
-        self.note_unplaced(candidate, unplaced, used, routed);
+        let reclaimed = self.reclaim_room(candidate, unplaced, routed);
+        self.note_unplaced(candidate, (unplaced - reclaimed) as u32, used, routed);
     }
 
     /// Room that tasks could not be given, as its holder lacks budget or another
@@ -157,7 +158,7 @@
         let age = spec.age(self.wall);
         let overdue = match spec.deadline {
             Some(deadline) => age + spec.estimate > deadline,
-            None => age > self.start_target,
+            None => age > self.start_target && !spec.is_idle_work(),
         };
         routed.unplaced.push(Unplaced {
             job: candidate.id.clone(),
--- a/src/coordination/leader/stats.rs
+++ b/src/coordination/leader/stats.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
@@ -74,7 +75,7 @@
         wall: SystemTime,
         start_target: Duration,
         window: Duration,
-        suited: impl Fn(&JobSpec) -> Option<Pool>,
+        suited: impl Fn(&Arc<JobSpec>) -> Option<Pool>,
     ) {
         let mut judged = Vec::new();
         let mut progress = BTreeMap::new();
@@ -102,7 +103,7 @@
                 ),
                 None => (
                     seen.started.saturating_sub(before.started),
-                    self.starved(id) > start_target,
+                    self.starved(id) > start_target && !spec.is_idle_work(),
                 ),
             };
             if count > 0 {
--- a/src/coordination/view.rs
+++ b/src/coordination/view.rs
@@ -33,7 +33,7 @@
 const SUSPECT_JOBS: usize = 2;
 const FAILURES_KEPT: usize = 16;
 const REFUSALS_KEPT: usize = 256;
-const FAILURE_WINDOW: Duration = Duration::from_secs(180);
+pub const FAILURE_WINDOW: Duration = Duration::from_secs(180);
 
 #[derive(Debug)]
 pub struct View {
@@ -274,11 +274,13 @@
         }
     }
 
-    pub fn is_suspect(&self, now: Instant) -> bool {
+    /// Whether so many jobs have failed here that the machine seems faulty. Jobs that
+    /// are to blame themselves do not count: they fail on every machine.
+    pub fn is_suspect(&self, now: Instant, is_blamed: impl Fn(&JobId) -> bool) -> bool {
         let mut jobs: Vec<&JobId> = self
             .failures
             .iter()
-            .filter(|(_, at)| now.duration_since(*at) < FAILURE_WINDOW)
+            .filter(|(job, at)| now.duration_since(*at) < FAILURE_WINDOW && !is_blamed(job))
             .map(|(job, _)| job)
             .collect();
         jobs.sort();
--- a/src/storage/model.rs
+++ b/src/storage/model.rs
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Independent tasks of the lowest priority: they use what others leave, nobody waits
+    /// for them at once, and any other work goes first.
+    pub fn is_idle_work(&self) -> bool {
+        self.kind == JobKind::Array && self.priority == Priority::BestEffort
+    }
+
     /// Run records that its tasks take.
     pub fn records(&self) -> u32 {
         self.tasks.div_ceil(keys::CHUNK)
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -44,9 +44,30 @@
 /// Questions that a close look asks of each controller.
 const LOOKS: usize = 3;
 
+/// How machines that are rented now come up.
+#[derive(Clone, Copy, Debug)]
+pub struct Boots {
+    /// Times the usual boot time.
+    pub factor: f64,
+    /// Share of the machines that never come up.
+    pub never: f64,
+}
+
+impl Default for Boots {
+    fn default() -> Self {
+        Self {
+            factor: 1.0,
+            never: 0.0,
+        }
+    }
+}
+
 /// The state of these troubles.
 #[derive(Default)]
 pub struct Troubles {
+    boots: Mutex<Boots>,
+    /// Pause between two questions about each job; none: the usual one.
+    question_pause: Mutex<Option<Duration>>,
     late_orders: Mutex<Delay>,
     /// Copies of reports are kept for the next leader.
     for_next: Mutex<bool>,
@@ -67,6 +88,30 @@
         delay.draw(ORDERS_LATE)
     }
 
+    pub fn set_boots(&self, boots: Boots) {
+        *self.boots.lock().expect("boots") = boots;
+    }
+
+    /// The boot time of a machine that is rented now; none: it never comes up.
+    pub fn boot_time(&self, usual: f64) -> Option<Duration> {
+        let boots = *self.boots.lock().expect("boots");
+        if boots.never > 0.0 && chance::share(0.0, 1.0) < boots.never {
+            return None;
+        }
+        let share = chance::share(0.6, 1.5);
+        Some(Duration::from_secs_f64(usual * boots.factor * share))
+    }
+
+    pub fn set_question_pause(&self, pause: Option<Duration>) {
+        *self.question_pause.lock().expect("pause") = pause;
+    }
+
+    /// How long a user waits before the next question about a job.
+    pub fn question_pause(&self) -> Duration {
+        let usual = Duration::from_secs_f64(chance::share(4.0, 6.0));
+        self.question_pause.lock().expect("pause").unwrap_or(usual)
+    }
+
     /// Copies of reports are kept until another leader begins.
     pub fn set_for_next(&self, on: bool) {
         *self.for_next.lock().expect("flag") = on;
