Bounds for fleets of thousands derive from settings; a process that stood still says so

The miss statistics keep an entry a pool and look in place of one a job, so that a minute of a large fleet fits. Machines of a zone are counted once a pass, not for each waiting job and type.

--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -79,6 +79,9 @@
     pub cloud_rps: f64,
     pub list_lag: Duration,
     pub max_connections: usize,
+    /// Machines that are kept track of, beyond those in the records; derived from the
+    /// memory allowed, see [`machines_for`].
+    pub machines_tracked: usize,
     pub tuning: Tuning,
     /// What this process reads, as it tells its peers.
     pub dialect: Dialect,
@@ -86,6 +89,22 @@
     pub wall: Arc<dyn Fn() -> SystemTime + Send + Sync>,
 }
 
+/// Machines that a process keeps track of for each MiB of memory: at most a quarter of
+/// it is used at some 2 KiB a machine.
+const MACHINES_PER_MIB: f64 = 128.0;
+/// ... and in any case. Half as many again as the largest fleet served, and some more.
+const LEAST_MACHINES: usize = 8_192;
+/// Without a memory limit.
+const MACHINES_WITHOUT_LIMIT: usize = 65_536;
+
+/// How many machines a process with this much memory keeps track of.
+pub fn machines_for(memory_mib: Option<f64>) -> usize {
+    let Some(memory) = memory_mib else {
+        return MACHINES_WITHOUT_LIMIT;
+    };
+    ((memory * MACHINES_PER_MIB) as usize).clamp(LEAST_MACHINES, MACHINES_WITHOUT_LIMIT)
+}
+
 /// Versioned back from `cancel` for clock drift, timers and the way of an answer.
 const CANCEL_MARGIN: Duration = Duration::from_secs(3);
 
@@ -136,6 +155,12 @@
         self.worker_report.mul_f64(2.5) + Duration::from_secs(1)
     }
 
+    /// Silent machines that all controllers look at, at a time. Each look takes a socket
+    /// of every controller for up to a second.
+    pub fn looks_at_once(&self) -> usize {
+        (self.max_connections / 16).max(32)
+    }
+
     pub fn nodes(&self) -> usize {
         self.peers.len() + 1
     }
--- a/src/coordination/holder/mod.rs
+++ b/src/coordination/holder/mod.rs
@@ -35,9 +35,10 @@
     },
 };
 
-/// Offers and preemptions kept.
-const OFFERS: usize = 512;
-const PREEMPTIONS: usize = 512;
+/// Jobs with offers, and tasks to be stopped, that are kept. The leader repeats what is
+/// beyond that: a longer wait, no loss. Four passes' worth of its largest.
+const OFFERS: usize = 2_400;
+const PREEMPTIONS: usize = 2_400;
 /// Between two rounds of the holder's loop.
 const LEAST_PAUSE: Duration = Duration::from_millis(15);
 const MOST_PAUSE: Duration = Duration::from_millis(150);
--- a/src/coordination/leader/fleet/faults.rs
+++ b/src/coordination/leader/fleet/faults.rs
@@ -72,9 +72,6 @@
 /// A controller that lost a block gets no others for this long.
 const SHUNNED: Duration = Duration::from_secs(30);
 
-/// Silent machines that all controllers look at, at a time. Each look takes a
-/// socket of every controller for up to a second.
-const VERIFIED_AT_ONCE: usize = 96;
 /// From so many unreachable machines of a zone on, what their holders say tells a
 /// hang from a cut, without further looks.
 const ENOUGH: usize = 2 * NEIGHBOURS;
@@ -265,7 +262,7 @@
             if (spot || !many || quiet > patience)
                 && !known
                 && !state.fleet.verifying.contains_key(&id)
-                && state.fleet.verifying.len() < VERIFIED_AT_ONCE
+                && state.fleet.verifying.len() < self.config.looks_at_once()
             {
                 state.fleet.verifying.insert(id.clone(), now + FOUND_UP);
                 let zone = cache.machines.get(&id).map(|record| &record.zone);
--- a/src/coordination/leader/fleet/lists.rs
+++ b/src/coordination/leader/fleet/lists.rs
@@ -85,7 +85,9 @@
             let mut state = lock(&self.leader);
             let now = Instant::now();
             let lag = self.config.list_lag;
-            state.fleet.forget_returned(now);
+            state
+                .fleet
+                .forget_returned(self.config.machines_tracked, now);
             let mut adopt = Vec::new();
             let mut still = BTreeMap::new();
             state.fleet.listed = list.iter().map(|machine| machine.id.clone()).collect();
@@ -173,21 +175,22 @@
 
 /// Unknown machines of one kind and place taken on at a time.
 const ADOPTED_AT_ONCE: usize = 50;
-/// Returned machines remembered.
-const RETURNED_KEPT: usize = 4_096;
-/// ... and for how long: copies of reports come well over a lease late.
+/// Returned machines are remembered for so long: copies of reports come well over a lease late.
 const RETURNED_LIFE: Duration = Duration::from_secs(600);
 
 impl FleetState {
-    fn forget_returned(&mut self, now: Instant) {
+    /// Forgets machines that were returned long ago, and beyond `most` the oldest.
+    fn forget_returned(&mut self, most: usize, now: Instant) {
         self.returned
             .retain(|_, at| now.duration_since(*at) < RETURNED_LIFE);
-        while self.returned.len() > RETURNED_KEPT {
-            let oldest = self.returned.iter().min_by_key(|(_, at)| **at);
-            let Some(oldest) = oldest.map(|(id, _)| id.clone()) else {
-                return;
-            };
-            self.returned.remove(&oldest);
+        let excess = self.returned.len().saturating_sub(most);
+        if excess == 0 {
+            return;
         }
+        tracing::info!(excess, "too many returned machines to remember all");
+        let mut times: Vec<Instant> = self.returned.values().copied().collect();
+        times.sort_unstable();
+        let oldest_kept = times[excess];
+        self.returned.retain(|_, at| *at >= oldest_kept);
     }
 }
--- a/src/coordination/leader/fleet/market.rs
+++ b/src/coordination/leader/fleet/market.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     coordination::{
+        Tuning,
         leader::{
             pool::{Pool, Suited},
             routing::Unplaced,
@@ -89,6 +90,37 @@
     pub wall: SystemTime,
     /// The least time that a machine is paid for.
     pub paid: Duration,
+    /// Machines in each zone, counted once: a look at all of them for each waiting job
+    /// took most of a pass in fleets of thousands.
+    machines_in: BTreeMap<&'a ZoneName, usize>,
+}
+
+impl<'a> Market<'a> {
+    pub fn new(
+        cache: &'a StateCache,
+        refused: &'a BTreeMap<Place, Refusal>,
+        tuning: &Tuning,
+        now: Instant,
+        wall: SystemTime,
+    ) -> Self {
+        let mut machines_in: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        for machine in cache.machines.values() {
+            *machines_in.entry(&machine.zone).or_default() += 1;
+        }
+        Self {
+            cache,
+            refused,
+            now,
+            k: tuning.suitability_k,
+            wall,
+            paid: tuning.paid.first,
+            machines_in,
+        }
+    }
+
+    fn machines_in(&self, zone: &ZoneName) -> usize {
+        self.machines_in.get(zone).copied().unwrap_or(0)
+    }
 }
 
 impl Market<'_> {
@@ -153,12 +185,8 @@
     }
 
     fn zones_by_size<'k>(&self, kind: &'k MachineType) -> Vec<&'k ZoneName> {
-        let machines_in = |zone: &ZoneName| {
-            let machines = self.cache.machines.values();
-            machines.filter(|machine| machine.zone == *zone).count()
-        };
         let mut zones: Vec<&ZoneName> = kind.zones.iter().collect();
-        zones.sort_by_cached_key(|zone| machines_in(zone));
+        zones.sort_by_key(|zone| self.machines_in(zone));
         zones
     }
 
@@ -312,11 +340,7 @@
             .zones
             .iter()
             .filter(|zone| self.available(&(pool.kind.clone(), (*zone).clone(), pool.spot)))
-            .map(|zone| {
-                let there = self.cache.machines.values();
-                let there = there.filter(|record| record.zone == *zone).count();
-                (there as u32, zone, 0)
-            })
+            .map(|zone| (self.machines_in(zone) as u32, zone, 0))
             .collect();
         for _ in 0..count {
             if let Some(least) = zones.iter_mut().min_by_key(|zone| zone.0) {
--- a/src/coordination/leader/fleet/rounds.rs
+++ b/src/coordination/leader/fleet/rounds.rs
@@ -60,14 +60,7 @@
             ..
         } = state;
         let refused = fleet.refused.clone();
-        let market = Market {
-            cache,
-            refused: &refused,
-            now,
-            k: tuning.suitability_k,
-            wall,
-            paid: tuning.paid.first,
-        };
+        let market = Market::new(cache, &refused, tuning, now, wall);
         stats.starve(unplaced.iter().map(|item| &item.job), now);
         stats.observe(
             cache,
--- a/src/coordination/leader/stats.rs
+++ b/src/coordination/leader/stats.rs
@@ -26,8 +26,9 @@
     missed: bool,
 }
 
-/// Entries in a window; older ones go first.
-const ENTRIES: usize = 4_096;
+/// Entries in a window; older ones go first. Each look makes at most two for a pool and
+/// one of arrivals, so that a minute of three looks a second and forty pools fits.
+const ENTRIES: usize = 16_384;
 
 #[derive(Debug, Default)]
 pub struct Stats {
@@ -77,7 +78,8 @@
         window: Duration,
         suited: impl Fn(&Arc<JobSpec>) -> Option<Pool>,
     ) {
-        let mut judged = Vec::new();
+        let mut judged: BTreeMap<(Option<Pool>, bool), u32> = BTreeMap::new();
+        let mut arrived = 0;
         let mut progress = BTreeMap::new();
         for (id, job) in &cache.jobs {
             let Some(spec) = job.spec() else { continue };
@@ -87,7 +89,7 @@
             };
             let before = self.progress.get(id).copied();
             if before.is_none() && self.primed {
-                self.arrivals.push_back((now, spec.tasks));
+                arrived += spec.tasks;
             }
             let before = before.unwrap_or(if self.primed {
                 Progress::default()
@@ -107,12 +109,7 @@
                 ),
             };
             if count > 0 {
-                judged.push(Judged {
-                    at: now,
-                    pool: suited(spec),
-                    count,
-                    missed,
-                });
+                *judged.entry((suited(spec), missed)).or_default() += count;
             }
             progress.insert(
                 id.clone(),
@@ -126,7 +123,17 @@
         self.starved.retain(|id, _| progress.contains_key(id));
         self.progress = progress;
         self.primed = true;
-        self.judged.extend(judged);
+        let judged = judged.into_iter();
+        self.judged
+            .extend(judged.map(|((pool, missed), count)| Judged {
+                at: now,
+                pool,
+                count,
+                missed,
+            }));
+        if arrived > 0 {
+            self.arrivals.push_back((now, arrived));
+        }
         while self.judged.len() > ENTRIES
             || self.judged.front().is_some_and(|j| now - j.at > window)
         {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -42,6 +42,9 @@
 }
 
 const COUNTERS_EVERY: Duration = Duration::from_secs(10);
+/// How often the process looks whether it has stood still, and for how long it must have.
+const LOOKS_EVERY: Duration = Duration::from_millis(500);
+const STOOD_STILL: Duration = Duration::from_secs(2);
 /// Direct commands under way at a time.
 const ORDERS_OUT: usize = 64;
 
@@ -123,6 +126,10 @@
         duty!("fleet", |node| async move { node.keep_fleet().await });
         duty!("peers", |node| async move { node.talk_to_peers().await });
         duty!("counters", |node| async move { node.log_counters().await });
+        duty!(
+            "clock watch",
+            |node| async move { node.watch_clock().await }
+        );
         duty!("probes", |node| async move { node.probe_silent().await });
     }
 
@@ -150,6 +157,21 @@
         }
     }
 
+    /// Duty: says when the process has stood still while its clocks ran on. What would
+    /// have been heard meanwhile is still on its way then; each duty makes sure of the
+    /// state service, and so of its role, before it judges anything.
+    async fn watch_clock(&self) {
+        let mut looked = Instant::now();
+        while self.pause(LOOKS_EVERY).await {
+            let late = looked.elapsed().saturating_sub(LOOKS_EVERY);
+            if late > STOOD_STILL {
+                let for_ms = late.as_millis() as u64;
+                tracing::info!(for_ms, leads = self.is_leader().is_some(), "stood still");
+            }
+            looked = Instant::now();
+        }
+    }
+
     /// Sleeps, or returns false as soon as the node is to stop.
     pub(super) async fn pause(&self, time: Duration) -> bool {
         tokio::select! {
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -14,7 +14,6 @@
 };
 
 const EVERY: Duration = Duration::from_millis(800);
-const SIGHTINGS: usize = 4_096;
 /// Cancelled jobs told to a peer at a time; more of them it must read for itself.
 const CANCELLATIONS: usize = 8_192;
 
@@ -65,7 +64,8 @@
             if (report.session, report.sequence) <= (known.session, known.sequence) {
                 return;
             }
-        } else if sightings.len() >= SIGHTINGS {
+        } else if sightings.len() >= self.config.machines_tracked {
+            tracing::debug!(machine = %report.machine, "too many machines reported to keep track");
             return;
         }
         let sighting = Sighting {
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -15,10 +15,9 @@
     },
 };
 
-/// Frames beyond this are not read. The largest tells of all machines: of 4,096
-/// held and 4,096 sighted ones, far more than any controller's sockets allow, see
-/// the test.
-pub const FRAME_LIMIT: usize = 4 * 1024 * 1024;
+/// Frames beyond this are not read. The largest tells of all machines: of 8,192 held and
+/// 8,192 sighted ones, see the test.
+pub const FRAME_LIMIT: usize = 8 * 1024 * 1024;
 
 #[derive(Archive, Serialize, Deserialize, Debug)]
 struct Held {
--- a/src/protocol/peers/tests.rs
+++ b/src/protocol/peers/tests.rs
@@ -12,7 +12,7 @@
             .map(|n| ImageName::new(format!("img-{n:04}")))
             .collect::<Vec<_>>(),
     );
-    let held = (0..4096).map(|n| HeldMachine {
+    let held = (0..8192).map(|n| HeldMachine {
         machine: MachineId::new(names(n).0),
         silent: Duration::from_secs(1),
         unreachable: false,
@@ -26,7 +26,7 @@
         speed: 1.0,
         freed: Resources::default(),
     });
-    let sightings = (0..4096).map(|n| Sighting {
+    let sightings = (0..8192).map(|n| Sighting {
         machine: MachineId::new(names(n).0),
         kind: TypeName::new("a-machine-type"),
         zone: ZoneName::new("a-zone-of-some-region"),
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -6,7 +6,11 @@
 use serde_json::Value;
 
 use crate::{
-    coordination::{Config, Tuning, config::Objective, ports::Dialect},
+    coordination::{
+        Config, Tuning,
+        config::{Objective, machines_for},
+        ports::Dialect,
+    },
     protocol::seconds,
     storage::{ClassName, Incarnation, NodeName, Quota, StateLimits, Team, TeamName, ZoneName},
 };
@@ -181,6 +185,8 @@
 #[derive(Debug, Deserialize)]
 pub struct LimitSettings {
     pub max_connections: u32,
+    #[serde(default)]
+    pub mem_mb: Option<f64>,
 }
 
 fn positive(name: &str, value: f64) -> Result<f64, String> {
@@ -351,6 +357,7 @@
             cloud_rps: inner.cloud.rps,
             list_lag: span(inner.cloud.list_lag_s),
             max_connections: inner.limits.max_connections as usize,
+            machines_tracked: machines_for(inner.limits.mem_mb),
             tuning,
             dialect: Dialect::OURS,
             wall: Arc::new(std::time::SystemTime::now),
--- a/src/transport/ports.rs
+++ b/src/transport/ports.rs
@@ -277,8 +277,8 @@
     pub address: String,
 }
 
-/// Pages of the machine list read at most.
-const LIST_PAGES: usize = 20;
+/// Pages of the machine list read at most: 32,000 machines.
+const LIST_PAGES: usize = 64;
 
 impl HttpCloud {
     async fn call(&self, method: Method, path: String, body: Bytes) -> Result<Reply, CloudError> {
@@ -376,9 +376,13 @@
                 let more = page.truncated && !page.mounts.is_empty();
                 machines.extend(page.mounts.into_iter().map(cloud::Listed::into_machine));
                 if !more {
-                    break;
+                    return Ok(machines);
                 }
             }
+            tracing::info!(
+                machines = machines.len(),
+                "the machine list is too long to be read"
+            );
             Ok(machines)
         }
         .boxed()
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -420,6 +420,7 @@
             cloud_rps: 5.0,
             list_lag: LIST_LAG,
             max_connections: 500,
+            machines_tracked: 8_192,
             tuning: self.tuning.clone(),
             dialect: version.dialect(),
             wall: Arc::new(move || {
