--- a/src/coordination/holder/change.rs
+++ b/src/coordination/holder/change.rs
@@ -27,6 +27,8 @@
     pub(super) shared: bool,
     /// It ends the job.
     pub(super) finishes: bool,
+    /// Its job is idle work, see `JobSpec::is_idle_work`.
+    pub(super) idle_work: bool,
     pub(super) starts: Vec<(MachineId, Session, Command)>,
     /// Ends that are learned from once they are written down.
     pub(super) ends: Vec<(TaskId, MachineId, Exit)>,
@@ -53,6 +55,7 @@
             fenced: false,
             shared: false,
             finishes: false,
+            idle_work: false,
             starts: Vec::new(),
             ends: Vec::new(),
         })
--- a/src/coordination/holder/commits.rs
+++ b/src/coordination/holder/commits.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use tokio::time::Instant;
+
 use super::{
     change::{Changes, JobChange},
     placing::depends_on_all_records,
@@ -20,6 +22,13 @@
 /// Run records in one transaction at most, for the service's 64 KiB.
 const RECORDS_PER_COMMIT: usize = 12;
 
+/// ... of idle work, so that what comes next for others waits no longer than for these.
+const IDLE_RECORDS_PER_COMMIT: usize = 4;
+/// Part of a second's worth of changes that must be left for idle work to be written.
+const SPARE_FOR_IDLE_WORK: f64 = 0.5;
+/// Idle work gets a commit at least this often, however much others write.
+const IDLE_WORK_HELD: Duration = Duration::from_secs(2);
+
 impl Node {
     /// Writes what it can of the changes: the most pressing first, and no more
     /// than the state service's limits allow now. The rest is planned again.
@@ -39,6 +48,7 @@
                 let job = cache.jobs.get(&change.id);
                 let spec = job.and_then(|job| job.spec());
                 let pressing = match spec {
+                    Some(_) if change.idle_work => 4,
                     _ if change.finishes => 1,
                     Some(spec) if change.places && spec.priority == Priority::Production => 0,
                     _ if change.places => 2,
@@ -50,7 +60,10 @@
             });
             seat
         };
-        while !parts.is_empty() {
+        while let Some((_, first)) = parts.first() {
+            if first.idle_work && !self.may_write_idle_work() {
+                return;
+            }
             let group = self.next_group(&mut parts);
             if !self.commit_group(seat, group).await {
                 return;
@@ -62,6 +75,23 @@
         }
     }
 
+    /// Whether a commit for idle work may be made now: it uses what others leave of the
+    /// state service's changes, as it does of machines. An array of 25,000 short tasks
+    /// took all of them for half a minute, in which replicas waited to be placed.
+    fn may_write_idle_work(&self) -> bool {
+        let now = Instant::now();
+        let mut state = lock(&self.holder);
+        let since = *state.idle_work_held.get_or_insert(now);
+        let is_due = now.duration_since(since) >= IDLE_WORK_HELD;
+        // Only looked at: a call that had to wait would make this controller try for more
+        // than its part of the changes, at the others' expense.
+        if !is_due && self.store.spare_writes() < SPARE_FOR_IDLE_WORK {
+            return false;
+        }
+        state.idle_work_held = None;
+        true
+    }
+
     /// The first part with others that go in one transaction with it. One that
     /// may well be refused goes alone: all that is in a refused transaction counts
     /// against the limit of changes.
@@ -70,19 +100,25 @@
         parts: &mut Vec<(Transaction, JobChange)>,
     ) -> Vec<(Transaction, JobChange)> {
         let first = parts.remove(0);
-        let (fenced, shared) = (first.1.fenced, first.1.shared);
+        let (fenced, shared, idle_work) = (first.1.fenced, first.1.shared, first.1.idle_work);
         let mut ops = first.0.ops.len();
         let mut conditions = 1 + first.0.conditions.len();
         let mut group = vec![first];
         if shared {
             return group;
         }
-        let most = self.config.state.txn_ops.min(RECORDS_PER_COMMIT);
+        let most = if idle_work {
+            IDLE_RECORDS_PER_COMMIT
+        } else {
+            RECORDS_PER_COMMIT
+        };
+        let most = self.config.state.txn_ops.min(most);
         let mut at = 0;
         while at < parts.len() && ops < most {
             let (part, change) = &parts[at];
             if change.fenced == fenced
                 && !change.shared
+                && change.idle_work == idle_work
                 && ops + part.ops.len() <= most
                 && conditions + part.conditions.len() <= 4 * self.config.state.txn_ops
             {
@@ -104,6 +140,7 @@
     ) -> Option<Transaction> {
         let job = cache.jobs.get(&change.id)?;
         let spec = job.spec();
+        change.idle_work = spec.is_some_and(|spec| spec.is_idle_work());
         let kept = job.chunks.get(&change.chunk);
         let placed = kept.iter().flat_map(|kept| kept.value.placed.values());
         let mut machines = placed.map(|placement| &placement.machine);
--- a/src/coordination/holder/mod.rs
+++ b/src/coordination/holder/mod.rs
@@ -71,6 +71,8 @@
     /// Jobs with results to be written, since when.
     results: BTreeMap<JobId, Instant>,
     failing: FailingJobs,
+    /// Since when changes of idle work wait for others to leave room for them.
+    idle_work_held: Option<Instant>,
     /// The outcome of a commit is unknown: nothing is placed before the seat
     /// has a new revision, which voids whatever may still be on its way.
     must_void_pending: bool,
--- a/src/coordination/leader/blocks.rs
+++ b/src/coordination/leader/blocks.rs
@@ -91,6 +91,28 @@
         self.seats.is_empty() && self.blocks.is_empty()
     }
 
+    /// Whether nobody waits for it: machines change their use within their blocks, or
+    /// are out of them since they are gone.
+    pub fn can_wait(&self, cache: &StateCache) -> bool {
+        let is_same_lease = |id: &BlockId, block: &BlockRecord| {
+            cache.blocks.get(id).is_some_and(|kept| {
+                let old = &kept.value;
+                let has_new = block.machines.keys().any(|m| !old.machines.contains_key(m));
+                let is_gone = |m: &MachineId| {
+                    block.machines.contains_key(m) || !cache.machines.contains_key(m)
+                };
+                (&old.node, old.holder, old.frozen) == (&block.node, block.holder, block.frozen)
+                    && !has_new
+                    && old.machines.keys().all(is_gone)
+            })
+        };
+        self.seats.is_empty()
+            && self
+                .blocks
+                .iter()
+                .all(|(id, block)| is_same_lease(id, block))
+    }
+
     /// The commit that carries it out, on condition that the records are still
     /// those of the cache.
     pub fn transaction(&self, cache: &StateCache) -> Transaction {
--- a/src/coordination/leader/blocks/tests.rs
+++ b/src/coordination/leader/blocks/tests.rs
@@ -263,3 +263,37 @@
     assert_eq!(holder_of(&cache, "vm-1"), "n0");
     assert!(!cache.blocks[&BlockId(1)].value.frozen);
 }
+
+/// Guards against a leader that spends its part of the state service's changes on marks.
+#[test]
+fn a_change_of_use_can_wait_and_a_lease_cannot() {
+    let mut cache = cache();
+    let machine = MachineId::new("vm-1");
+    let record = |node: &str, machine_use: MachineUse| BlockRecord {
+        node: NodeName::new(node),
+        holder: Incarnation(10),
+        frozen: false,
+        machines: BTreeMap::from([(machine.clone(), machine_use)]),
+    };
+    let value = serde_json::to_value(record("n0", MachineUse::Open)).expect("a record");
+    cache.set("block/1", value, Revision(90));
+    let change = |block: BlockRecord| Changed {
+        seats: BTreeMap::new(),
+        blocks: BTreeMap::from([(BlockId(1), block)]),
+    };
+    assert!(change(record("n0", MachineUse::Marked)).can_wait(&cache));
+    assert!(!change(record("n1", MachineUse::Open)).can_wait(&cache));
+    let mut without = record("n0", MachineUse::Open);
+    without.machines.clear();
+    assert!(
+        !change(without.clone()).can_wait(&cache),
+        "its machine is there still"
+    );
+    cache.drop_key("machine/r-1", Revision(91));
+    assert!(change(without).can_wait(&cache));
+    let mut seated = change(record("n0", MachineUse::Marked));
+    seated
+        .seats
+        .insert(NodeName::new("n0"), SeatRecord::default());
+    assert!(!seated.can_wait(&cache));
+}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -37,6 +37,8 @@
 const MOST_PAUSE: Duration = Duration::from_millis(200);
 /// Changes in one commit at most, for the service's 64 KiB.
 const OPS_PER_COMMIT: usize = 12;
+/// Between two writes of changes of blocks that nobody waits for.
+const USE_CHANGES: Duration = Duration::from_millis(2_500);
 /// Tasks that went with their machine and found no other place for this long are
 /// written down as waiting.
 const FREED_AFTER: Duration = Duration::from_secs(10);
@@ -74,6 +76,8 @@
     short: BTreeMap<(NodeName, TeamName), Quota>,
     kept: BTreeMap<(NodeName, TeamName), Quota>,
     moving: BTreeMap<BlockId, (NodeName, Instant)>,
+    /// When changes of machines' use within their blocks were last written.
+    last_use_change: Option<Instant>,
     pub(super) returning: BTreeMap<MachineId, fleet::Return>,
     stranded: BTreeMap<MachineId, NodeName>,
     stats: stats::Stats,
@@ -322,7 +326,7 @@
             let transaction = changed.transaction(&cache);
             (changed, transaction)
         };
-        if changed.is_empty() {
+        if changed.is_empty() || self.is_put_off(&changed) {
             return;
         }
         match self.commit_as_leader(transaction, Urgency::Fence).await {
@@ -346,6 +350,25 @@
         }
     }
 
+    /// Whether changes of blocks that nobody waits for are put off, so that those of one
+    /// block come together. A shrinking fleet marks, freezes and loses a machine at a time:
+    /// written one by one that took so much of the leader's part of the state service's
+    /// changes that the machines it held itself were not served.
+    fn is_put_off(&self, changed: &blocks::Changed) -> bool {
+        let can_wait = changed.can_wait(&self.store.cache());
+        let mut state = lock(&self.leader);
+        let is_due = state
+            .last_use_change
+            .is_none_or(|at| at.elapsed() >= USE_CHANGES);
+        if !can_wait {
+            return false;
+        }
+        if is_due {
+            state.last_use_change = Some(Instant::now());
+        }
+        !is_due
+    }
+
     /// Removes what is left of jobs that are over, places of tasks whose
     /// machines are gone, and ends jobs of many records.
     async fn clean_up(&self) {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use stallcove::{coordination::Tuning, protocol::settings::Settings, storage::Incarnation};
+use stallcove::{
+    coordination::Tuning,
+    protocol::settings::Settings,
+    storage::{Incarnation, Quota},
+};
 
 const EXAMPLE: &str = r#"{
     "node_name": "n-0", "area": "a", "serve_on": "127.0.0.1:8080",
@@ -25,6 +29,26 @@
     assert_eq!(config.teams[0].limit.cpus, 8.0);
 }
 
+/// A team that the platform gives no limit (zero) may use what there is. Read as "may use
+/// nothing", all of its jobs were refused for good.
+#[test]
+fn a_limit_of_zero_is_none() {
+    let text = EXAMPLE.replace(
+        "\"cpus\": 4.0, \"cpus_max\": 8.0",
+        "\"cpus\": 0, \"cpus_max\": 0",
+    );
+    let config = Settings::parse(&text)
+        .expect("valid")
+        .config(Incarnation(1), Tuning::default());
+    let team = &config.teams[0];
+    assert_eq!(team.guaranteed.cpus, 0.0);
+    let huge = Quota {
+        cpus: 100_000.0 * 64.0,
+        gpus: 0.0,
+    };
+    assert!(team.limit.covers(&huge));
+}
+
 #[test]
 fn what_is_wrong_is_named() {
     for (from, to, names) in [
