Only several lapsed offers in a row keep a job from a holder

A holder that may not write yet lets offers lapse as well; kept from it after one, tasks that had been placed before went to and fro between holders.

--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -144,9 +144,21 @@
 /// was last told to leave.
 pub type Gangs = BTreeMap<JobId, (Instant, Option<Instant>)>;
 
-/// The holder that last let an offer of the job lapse, and when. Its machines may refuse
+/// Offers of a job that one holder let lapse one after the other. Its machines may refuse
 /// the job after a failure, which the leader does not know.
-pub type Lapsed = BTreeMap<JobId, (NodeName, Instant)>;
+#[derive(Clone, Debug)]
+pub struct LapsedOffers {
+    node: NodeName,
+    last: Instant,
+    count: u32,
+}
+
+/// The holders that let offers lapse.
+pub type Lapsed = BTreeMap<JobId, LapsedOffers>;
+
+/// A holder that may not write yet lets offers lapse as well, and is quicker than another
+/// one that begins anew: only so many in a row say that it refuses the job.
+const REFUSES_AFTER: u32 = 4;
 
 /// A lapsed offer says nothing any more after this long.
 const LAPSED_LIFE: Duration = Duration::from_secs(30);
@@ -259,19 +271,26 @@
     fn settle_offers(&mut self, used: &mut Used) {
         let (cache, now, life) = (self.cache, self.now, self.offer_life);
         let lapsed = &mut *self.lapsed;
-        lapsed.retain(|_, (_, at)| now.duration_since(*at) < LAPSED_LIFE);
+        lapsed.retain(|_, known| now.duration_since(known.last) < LAPSED_LIFE);
         self.offered.retain(|id, tasks| {
             let Some(job) = cache.jobs.get(id) else {
                 return false;
             };
+            let mut lapsed_at = None;
             tasks.retain(|task, offered| {
                 let waits = job.placement(*task).is_none() && !job.is_task_done(*task);
                 let is_open = now.duration_since(offered.at) < life;
                 if waits && !is_open {
-                    lapsed.insert(id.clone(), (offered.node.clone(), now));
+                    lapsed_at = Some(offered.node.clone());
                 }
                 waits && is_open
             });
+            if let Some(node) = lapsed_at {
+                let known = lapsed.get(id).filter(|known| known.node == node);
+                let count = known.map_or(1, |known| known.count + 1);
+                let last = now;
+                lapsed.insert(id.clone(), LapsedOffers { node, last, count });
+            }
             !tasks.is_empty()
         });
         if self.offered.is_empty() {
--- a/src/coordination/leader/routing/records.rs
+++ b/src/coordination/leader/routing/records.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     coordination::{
-        leader::routing::{Candidate, Routing, SHARED_AFTER},
+        leader::routing::{Candidate, REFUSES_AFTER, Routing, SHARED_AFTER},
         policy::placement,
     },
     storage::{JobId, JobKind, NodeName, Quota, keys, state_cache::Job},
@@ -36,11 +36,16 @@
     /// result before and there are other holders. Two such jobs with room at two holders
     /// would keep each other's only other place for good.
     fn lapsed_at(&self, id: &JobId, job: &Job, tasks: &[u32]) -> Option<usize> {
-        let (node, _) = self.lapsed.get(id)?;
+        let lapsed = self.lapsed.get(id)?;
         let record = &job.chunks.get(&(tasks.first()? / keys::CHUNK))?.value;
         let is_again = tasks.iter().any(|task| record.before.contains_key(task));
-        let group = self.open.nodes.iter().position(|other| other == node);
-        group.filter(|_| is_again && self.open.nodes.len() > 1)
+        let group = self
+            .open
+            .nodes
+            .iter()
+            .position(|other| *other == lapsed.node);
+        let refuses = lapsed.count >= REFUSES_AFTER;
+        group.filter(|_| refuses && is_again && self.open.nodes.len() > 1)
     }
 
     /// The tasks of each record go to one holder as far as it has room: each
