--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -5,8 +5,10 @@
 //! The [`rules`] of the protocol are checked on all that happens in it.
 
 pub mod agent;
+pub mod event_trace;
 pub mod faults;
 pub mod gangs;
+mod logging;
 pub mod loopback;
 pub mod rules;
 pub mod scenario;
@@ -15,15 +17,4 @@
 pub mod users;
 pub mod versions;
 
-/// Logs to standard output at the level that SCENARIO_LOG names.
-pub fn start_logging() {
-    let level = std::env::var("SCENARIO_LOG").ok();
-    if let Some(level) = level.and_then(|level| level.parse::<tracing::Level>().ok()) {
-        tracing_subscriber::fmt()
-            .with_max_level(level)
-            .with_ansi(false)
-            .with_target(false)
-            .without_time()
-            .init();
-    }
-}
+pub use logging::start_logging;
--- a/crates/simulator/src/scenario/mod.rs
+++ b/crates/simulator/src/scenario/mod.rs
@@ -14,9 +14,11 @@
 };
 
 use stallcove::storage::{JobId, TeamName, jitter};
-use tokio::time::Instant;
+use tokio::{runtime::Runtime, time::Instant};
 
 use crate::{
+    event_trace::EventTrace,
+    logging,
     simulation::{ClusterSettings, Simulation},
     versions::Version,
 };
@@ -93,6 +95,17 @@
     until: Duration,
 }
 
+/// What a scenario is played on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Surroundings {
+    /// The simulated network, on a paused clock.
+    Simulated,
+    /// The same, with its events kept.
+    Traced,
+    /// Real sockets, in real time.
+    Loopback,
+}
+
 /// Statements that are no faults. Those who submit late are faults of their own.
 const FAULTLESS_STATEMENTS: [&str; 6] =
     ["submit", "stream", "resubmit", "cancel", "expect", "cloud"];
@@ -120,15 +133,24 @@
         self.measure().wrong
     }
 
+    /// The same scenario with another seed.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Plays the scenario as [`Self::play`] does; what was seen in it.
     pub fn measure(self) -> Measured {
         jitter::seed(self.seed);
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("the runtime starts");
-        runtime.block_on(self.run(false))
+        paused_runtime()
+            .block_on(self.run(Surroundings::Simulated))
+            .0
+    }
+
+    /// Plays the scenario as [`Self::measure`] does, and keeps its events.
+    pub fn measure_traced(self) -> (Measured, EventTrace) {
+        jitter::seed(self.seed);
+        paused_runtime().block_on(self.run(Surroundings::Traced))
     }
 
     /// Plays the scenario in real time, on real sockets of the loopback range.
@@ -137,15 +159,20 @@
             .enable_all()
             .build()
             .expect("the runtime starts");
-        runtime.block_on(self.run(true)).wrong
+        runtime.block_on(self.run(Surroundings::Loopback)).0.wrong
     }
 
-    async fn run(self, on_loopback: bool) -> Measured {
+    async fn run(self, surroundings: Surroundings) -> (Measured, EventTrace) {
+        logging::start_clock();
         let faults_end_at = self.faults_end_at();
         let mut simulation = Simulation::new(self.cluster);
-        if on_loopback {
+        {
             let simulation = Arc::get_mut(&mut simulation).expect("nobody else has it yet");
-            simulation.use_loopback();
+            match surroundings {
+                Surroundings::Simulated => {}
+                Surroundings::Traced => simulation.keep_trace(),
+                Surroundings::Loopback => simulation.use_loopback(),
+            }
         }
         simulation.serve_services().await;
         for name in simulation.controller_names() {
@@ -165,10 +192,19 @@
         simulation.finish();
         violations.extend(simulation.violations());
         let used = std::mem::take(&mut *usage_samples.lock().expect("samples"));
-        measure(&simulation, violations, used)
+        let trace = simulation.take_trace();
+        (measure(&simulation, violations, used), trace)
     }
 }
 
+fn paused_runtime() -> Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("the runtime starts")
+}
+
 /// Plays the timed actions; the expectations that failed.
 async fn play_actions(
     simulation: &Arc<Simulation>,
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     agent::Machine,
+    event_trace::EventTrace,
     faults::{Delay, FaultInjection},
     gangs::Gangs,
     loopback::{Loopback, Process},
@@ -150,6 +151,8 @@
     tuning: Tuning,
     /// Real sockets, in place of the simulated network.
     pub loopback: Option<Loopback>,
+    /// The events so far; none: nobody asked for them.
+    trace: Option<Mutex<EventTrace>>,
 }
 
 const AGENT_LEASE: Duration = Duration::from_secs(15);
@@ -231,6 +234,7 @@
             latency: Mutex::default(),
             tuning: settings.tuning,
             loopback: None,
+            trace: None,
         })
     }
 
@@ -239,8 +243,30 @@
         self.start.elapsed()
     }
 
+    /// Keeps the ordered events from now on, for [`Self::take_trace`].
+    pub fn keep_trace(&mut self) {
+        self.trace = Some(Mutex::default());
+    }
+
+    /// The events since [`Self::keep_trace`].
+    pub fn take_trace(&self) -> EventTrace {
+        let trace = self.trace.as_ref();
+        trace.map_or_else(EventTrace::default, |trace| {
+            std::mem::take(&mut *trace.lock().expect("trace"))
+        })
+    }
+
+    /// Adds an event to the trace, if one is kept.
+    pub(crate) fn trace(&self, describe: impl FnOnce() -> String) {
+        if let Some(trace) = &self.trace {
+            let event = describe();
+            trace.lock().expect("trace").record(self.at(), &event);
+        }
+    }
+
     /// Passes an event to the rule checkers.
     pub fn record(&self, event: Event) {
+        self.trace(|| format!("{event:?}"));
         self.rules.lock().expect("rules").record(self.at(), event);
     }
 
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -66,6 +66,13 @@
             Method::Post => "POST",
             Method::Delete => "DELETE",
         };
+        simulation.trace(|| {
+            let body = String::from_utf8_lossy(&request.body);
+            format!(
+                "{controller} -> {}: {method} {} {body}",
+                request.address, request.path
+            )
+        });
         match request.address.as_str() {
             "state" => {
                 let latency = *simulation.latency.lock().expect("latency");
@@ -115,6 +122,10 @@
             return futures::future::pending().await;
         }
         let (status, value) = Self::execute(&self.simulation, &self.controller, &request).await;
+        self.simulation.trace(|| {
+            let (from, to) = (&request.address, &self.controller);
+            format!("{from} -> {to}: {status} {value}")
+        });
         tokio::time::sleep(jitter::millis(1, 5)).await;
         if self.draw_response_loss(&request)
             || self.simulation.partition_between(&here, &there).is_some()
@@ -221,6 +232,8 @@
                 };
                 let request =
                     peer_frames::decode_request(&frame).expect("a controller sends valid frames");
+                self.simulation
+                    .trace(|| format!("{} -> {address}: {request:?}", self.controller));
                 let needed = needed_version(&request);
                 if self.simulation.protocol_version_of(address) < needed {
                     if needed == ProtocolVersion::QUOTA_TRANSFERS {
--- a/crates/simulator/src/simulation/requests.rs
+++ b/crates/simulator/src/simulation/requests.rs
@@ -33,6 +33,7 @@
         if let Some(loopback) = &self.loopback {
             return loopback.request(name, method, path, body).await;
         }
+        self.trace(|| format!("{} -> {name}: {method} {path} {body}", from.join("/")));
         let request = Request::builder()
             .method(method)
             .uri(path)
@@ -58,6 +59,8 @@
         if !self.is_alive(name, life) {
             return None;
         }
-        Some((status, String::from_utf8_lossy(&bytes).into_owned()))
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        self.trace(|| format!("{name} -> {}: {status} {text}", from.join("/")));
+        Some((status, text))
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,11 @@
 //! Plays every scenario under `tests/scenarios/` against the simulator, which
 //! checks PROTOCOL's rules in each.
 //!
+//! `SCENARIO=name` plays only the scenarios with that in their names, `SCENARIO_SEED=n` with
+//! this seed in place of their own, and `SCENARIO_FOLDER=folder` those of another folder.
+//! `SCENARIO_TRACE=folder` writes the ordered events of each play there; two plays of one seed
+//! give the same, so that `cmp` or `diff` finds what reached a play from outside.
+//!
 //! `SCENARIO_FIGURES=file` writes what each scenario measured to that file, one line a
 //! scenario. The clock is paused and the seeds are fixed, so that a change of the code
 //! which is to change no behaviour gives the same lines as the code before it.
@@ -11,7 +16,7 @@
     thread,
 };
 
-use simulator::scenario::Scenario;
+use simulator::scenario::{Measured, Scenario};
 
 /// The scenario's name: its file's name without the extension.
 fn name_of(path: &Path) -> String {
@@ -21,7 +26,10 @@
 
 /// All scenarios, or those whose names contain the value of `SCENARIO`.
 fn scenario_files() -> Vec<PathBuf> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let folder = std::env::var_os("SCENARIO_FOLDER").map_or_else(
+        || Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios"),
+        PathBuf::from,
+    );
     let only = std::env::var("SCENARIO").ok();
     let mut files: Vec<PathBuf> = fs::read_dir(folder)
         .expect("the scenarios' folder")
@@ -36,6 +44,22 @@
     files
 }
 
+/// Plays a scenario as the environment asks for.
+fn play(name: &str, text: &str) -> Measured {
+    let mut scenario = Scenario::parse(text);
+    if let Ok(seed) = std::env::var("SCENARIO_SEED") {
+        scenario = scenario.with_seed(seed.parse().expect("a seed is a number"));
+    }
+    let Some(folder) = std::env::var_os("SCENARIO_TRACE") else {
+        return scenario.measure();
+    };
+    let (measured, trace) = scenario.measure_traced();
+    let path = PathBuf::from(folder).join(format!("{name}.trace"));
+    fs::write(path, trace.events().join("\n") + "\n").expect("the events are written");
+    println!("{name}: digest {:016x}", trace.digest());
+    measured
+}
+
 fn print_result(name: &str, violations: &[String]) {
     let result = if violations.is_empty() {
         "holds"
@@ -57,8 +81,12 @@
         .into_iter()
         .map(|path| {
             let text = fs::read_to_string(&path).expect("a scenario");
-            let played = thread::spawn(move || Scenario::parse(&text).measure());
-            (name_of(&path), played)
+            let name = name_of(&path);
+            let played = {
+                let name = name.clone();
+                thread::spawn(move || play(&name, &text))
+            };
+            (name, played)
         })
         .collect();
     let mut failed = 0;
