--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -98,11 +98,11 @@
             tokio::select! {
                 biased;
                 _ = self.context.shutdown.cancelled() => return,
-                _ = changes.changed() => {}
+                () = changes.changed() => {}
                 _ = self.context.leader_wakeup.notified() => {}
                 _ = tokio::time::sleep(IDLE_PASS_INTERVAL) => {}
             }
-            changes.mark_unchanged();
+            changes.mark_seen();
             let started = Instant::now();
             if self.context.store.is_loaded()
                 && self.context.store.is_reachable()
--- a/src/coordination/owner/round.rs
+++ b/src/coordination/owner/round.rs
@@ -35,11 +35,11 @@
             tokio::select! {
                 biased;
                 _ = self.context.shutdown.cancelled() => return,
-                _ = changes.changed() => {}
+                () = changes.changed() => {}
                 _ = self.context.owner_wakeup.notified() => {}
                 _ = tokio::time::sleep(IDLE_ROUND_INTERVAL) => {}
             }
-            changes.mark_unchanged();
+            changes.mark_seen();
             let started = Instant::now();
             if self.context.store.is_loaded() {
                 self.run_round().await;
--- a/src/storage/client/mod.rs
+++ b/src/storage/client/mod.rs
@@ -24,12 +24,13 @@
 pub use errors::{CommitError, StateError};
 pub use key_value_store::{KeyValue, KeyValueStore, RangePage, StateLimits, WatchEvent};
 use tokio::{
-    sync::{Notify, oneshot, watch},
+    sync::{Notify, oneshot},
     time::Instant,
 };
 pub use transaction::{LeaseId, Operation, Transaction};
 
 use super::{
+    change_signal::{ChangeListener, ChangeSignal},
     ids::Revision,
     rate_limiter::{RateLimiter, RequestPriority},
     state_cache::StateCache,
@@ -54,7 +55,7 @@
     key_value_store: Box<dyn KeyValueStore>,
     cache: Mutex<StateCache>,
     /// Counts the changes of the cache.
-    changed: watch::Sender<u64>,
+    changed: ChangeSignal,
     /// See [`Store::is_loaded`].
     loaded: AtomicBool,
     requests: RateLimiter,
@@ -95,7 +96,7 @@
         Self {
             key_value_store,
             cache: Mutex::default(),
-            changed: watch::Sender::new(0),
+            changed: ChangeSignal::default(),
             loaded: AtomicBool::new(false),
             requests: initial_limiter(rps),
             writes: initial_limiter(write_rps),
@@ -160,13 +161,13 @@
         self.loaded.load(Ordering::Relaxed)
     }
 
-    /// Tells its receiver of every change of the cache.
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changed.subscribe()
+    /// Tells its listener of every change of the cache.
+    pub fn changes(&self) -> ChangeListener<'_> {
+        self.changed.listen()
     }
 
     fn notify_changed(&self) {
-        self.changed.send_modify(|changes| *changes += 1);
+        self.changed.notify();
     }
 
     /// Start of the latest read that the service answered and whose changes are all in
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! The lowest layer: it decides nothing and knows none of the others.
 
+pub mod change_signal;
 pub mod client;
 pub mod ids;
 pub mod jitter;
