--- a/src/coordination/leader/routing/offers.rs
+++ b/src/coordination/leader/routing/offers.rs
@@ -37,6 +37,8 @@
                 let waits = job.placement(*task).is_none() && !job.is_task_done(*task);
                 let is_open = now.duration_since(offered.offered_at) < ttl;
                 if waits && !is_open {
+                    tracing::debug!(job = %id, task, owner = %offered.controller,
+                        machine = %offered.machine, "offer expired");
                     expired_at = Some(offered.controller.clone());
                 }
                 waits && is_open
--- a/src/coordination/leader/shards/tests/mod.rs
+++ b/src/coordination/leader/shards/tests/mod.rs
@@ -3,6 +3,7 @@
 mod leases;
 mod moves;
 mod quota;
+mod uses;
 
 use serde_json::json;
 
