Simulated users draw from generators of their own

Cause: users, network and program shared one generator, so that any change of the program had users turn to other controllers. Change: each errand of a user has a generator seeded by the play's seed, the job and the errand.

--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod scenario;
 pub mod simulation;
 pub mod state_service;
+mod user_choices;
 pub mod users;
 pub mod versions;
 
--- a/crates/simulator/src/scenario/actions.rs
+++ b/crates/simulator/src/scenario/actions.rs
@@ -87,7 +87,7 @@
             let job = job_id(job);
             let spec = simulation.spec(&job).expect("a job submitted before");
             let simulation = simulation.clone();
-            tokio::spawn(async move { users::submit_once(&simulation, &job, &spec).await });
+            tokio::spawn(users::resubmit(simulation, job, spec));
         }
         ["stream", first, ..] => {
             let first = first.strip_prefix("job-").expect("a job id");
--- a/crates/simulator/src/scenario/mod.rs
+++ b/crates/simulator/src/scenario/mod.rs
@@ -20,6 +20,7 @@
     event_trace::EventTrace,
     logging,
     simulation::{ClusterSettings, Simulation},
+    user_choices,
     versions::Version,
 };
 use actions::{act, run_later};
@@ -139,9 +140,15 @@
         self
     }
 
+    /// Makes all that is drawn on this thread repeatable.
+    fn seed_draws(&self) {
+        jitter::seed(self.seed);
+        user_choices::seed(self.seed);
+    }
+
     /// Plays the scenario as [`Self::play`] does; what was seen in it.
     pub fn measure(self) -> Measured {
-        jitter::seed(self.seed);
+        self.seed_draws();
         paused_runtime()
             .block_on(self.run(Surroundings::Simulated))
             .0
@@ -149,7 +156,7 @@
 
     /// Plays the scenario as [`Self::measure`] does, and keeps its events.
     pub fn measure_traced(self) -> (Measured, EventTrace) {
-        jitter::seed(self.seed);
+        self.seed_draws();
         paused_runtime().block_on(self.run(Surroundings::Traced))
     }
 
--- a/crates/simulator/src/users.rs
+++ b/crates/simulator/src/users.rs
@@ -3,11 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use serde_json::{Value, json};
-use stallcove::storage::{JobId, JobKind, JobSpec, Priority, jitter};
+use stallcove::storage::{JobId, JobKind, JobSpec, Priority};
 
 use crate::{
     rules::{Event, UserAnswer},
     simulation::Simulation,
+    user_choices::{Errand, UserChoices},
 };
 
 /// How long a user waits for the answer to a submission or a cancellation.
@@ -43,6 +44,7 @@
 /// answer in time.
 async fn ask(
     simulation: &Arc<Simulation>,
+    choices: &mut UserChoices,
     method: &str,
     path: &str,
     body: String,
@@ -50,7 +52,7 @@
 ) -> Option<(u16, Value)> {
     let names = simulation.controller_names();
     let tags = ["users".to_owned()];
-    let first = jitter::uniform(0.0, names.len() as f64) as usize;
+    let first = choices.first_controller(names.len());
     // The load balancer tries another controller when one refuses.
     for n in 0..names.len() {
         let name = &names[(first + n) % names.len()];
@@ -125,7 +127,17 @@
 pub async fn submit_at_once(simulation: &Arc<Simulation>, job: &JobId, spec: &JobSpec) {
     let body = write_job(job, spec).to_string();
     let requested_at = simulation.at();
-    let answer = ask(simulation, "POST", "/api/jobs", body, SUBMISSION_TIMEOUT).await;
+    let at_ms = requested_at.as_millis();
+    let mut choices = UserChoices::new(Errand::SubmitAgain { at_ms }, job);
+    let answer = ask(
+        simulation,
+        &mut choices,
+        "POST",
+        "/api/jobs",
+        body,
+        SUBMISSION_TIMEOUT,
+    )
+    .await;
     if let Some((status, answer)) = answer {
         take_answer(
             simulation,
@@ -144,15 +156,23 @@
 /// repeat for example.
 pub async fn submit(simulation: Arc<Simulation>, job: JobId, spec: JobSpec, fails: bool) {
     simulation.upload(&job, spec.clone(), fails);
-    if submit_once(&simulation, &job, &spec).await == Some(false) {
+    let mut choices = UserChoices::new(Errand::Submit, &job);
+    if submit_until_answered(&simulation, &mut choices, &job, &spec).await == Some(false) {
         return;
     }
     loop {
         tokio::time::sleep(simulation.faults.poll_interval()).await;
         let path = format!("/api/jobs/{job}");
         let requested_at = simulation.at();
-        if let Some((status, answer)) =
-            ask(&simulation, "GET", &path, String::new(), POLL_TIMEOUT).await
+        if let Some((status, answer)) = ask(
+            &simulation,
+            &mut choices,
+            "GET",
+            &path,
+            String::new(),
+            POLL_TIMEOUT,
+        )
+        .await
         {
             take_answer(
                 &simulation,
@@ -167,9 +187,17 @@
     }
 }
 
+/// Submits a known job once more, until it is accepted or refused for good.
+pub async fn resubmit(simulation: Arc<Simulation>, job: JobId, spec: JobSpec) {
+    let at_ms = simulation.at().as_millis();
+    let mut choices = UserChoices::new(Errand::SubmitAgain { at_ms }, &job);
+    submit_until_answered(&simulation, &mut choices, &job, &spec).await;
+}
+
 /// Whether it was accepted, or refused for good; none: no such answer in time.
-pub async fn submit_once(
+async fn submit_until_answered(
     simulation: &Arc<Simulation>,
+    choices: &mut UserChoices,
     job: &JobId,
     spec: &JobSpec,
 ) -> Option<bool> {
@@ -178,6 +206,7 @@
         let requested_at = simulation.at();
         if let Some((status, answer)) = ask(
             simulation,
+            choices,
             "POST",
             "/api/jobs",
             body.clone(),
@@ -205,7 +234,7 @@
                 _ => {}
             }
         }
-        tokio::time::sleep(Duration::from_secs_f64(jitter::uniform(1.0, 2.0))).await;
+        tokio::time::sleep(choices.retry_pause()).await;
     }
     None
 }
@@ -213,11 +242,13 @@
 /// Asks to cancel the job, until a controller has confirmed it.
 pub async fn cancel(simulation: Arc<Simulation>, job: JobId) {
     simulation.record(Event::CancelRequested(job.clone()));
+    let mut choices = UserChoices::new(Errand::Cancel, &job);
     for _ in 0..MAX_CANCEL_REQUESTS {
         let path = format!("/api/jobs/{job}/abort");
         let requested_at = simulation.at();
         if let Some((status, answer)) = ask(
             &simulation,
+            &mut choices,
             "POST",
             &path,
             String::new(),
@@ -238,7 +269,7 @@
                 return;
             }
         }
-        tokio::time::sleep(Duration::from_secs_f64(jitter::uniform(1.0, 2.0))).await;
+        tokio::time::sleep(choices.retry_pause()).await;
     }
 }
 
@@ -331,13 +362,23 @@
 
 /// Sends submissions that lack a field or can never run.
 pub async fn send_invalid(simulation: Arc<Simulation>, spec: JobSpec) {
-    let valid = write_job(&JobId::new("job-990000"), &spec);
+    let first = JobId::new("job-990000");
+    let mut choices = UserChoices::new(Errand::SendInvalid, &first);
+    let valid = write_job(&first, &spec);
     for (n, mut invalid) in invalid_submissions(&valid).into_iter().enumerate() {
         if invalid.body.get("uid").is_some() {
             invalid.body["uid"] = json!(format!("job-99{n:04}"));
         }
         let text = invalid.body.to_string();
-        let answer = ask(&simulation, "POST", "/api/jobs", text, SUBMISSION_TIMEOUT).await;
+        let answer = ask(
+            &simulation,
+            &mut choices,
+            "POST",
+            "/api/jobs",
+            text,
+            SUBMISSION_TIMEOUT,
+        )
+        .await;
         if let Some((status, _)) = answer {
             simulation.record(Event::InvalidSubmissionAnswered {
                 what: invalid.what,
