--- a/src/coordination/leader/state.rs
+++ b/src/coordination/leader/state.rs
@@ -263,6 +263,9 @@
     }
 
     /// What a machine offers to waiting tasks; none if no task may be routed to it.
+    ///
+    /// A booting machine offers nothing: its owner takes it for one that sent a heartbeat when
+    /// its shard was leased, but places nothing there before the first one.
     pub(super) fn usable_machine(
         &self,
         cache: &StateCache,
@@ -277,6 +280,7 @@
         let awaits_release = self.fleet.draining_machines.contains(machine)
             && !cache.on_machine.contains_key(machine);
         let is_usable = age <= STATUS_TTL
+            && self.is_up(cache, machine)
             && !awaits_release
             && owned.since_heartbeat + age < unresponsive_after
             && !owned.unreachable
