A draining machine that gets replicas drains no more, and an emptied one keeps its mark

Cause: an idle machine that is chosen to drain is not marked in its shard's record, and a marked one lost its mark as it emptied. Owners placed replicas on both, and the leader moved them off. Change: DrainingMachines forgets a machine that was idle and has replicas again; a mark stays until the machine is released or kept. No further change of the state service for either.

--- a/src/coordination/leader/fleet/eviction.rs
+++ b/src/coordination/leader/fleet/eviction.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use super::{FleetState, ReleaseReason};
+use super::{FleetState, ReleaseReason, draining::is_replica};
 use crate::{
     coordination::{
         clients::PeerRequest,
@@ -24,7 +24,7 @@
     storage::{
         ControllerName, JobKind, JobSpec, MachineId, Resources, StateCache, TaskId,
         records::{MachineUse, ShardRecord},
-        state_cache::{MachineLoad, PlacedTask},
+        state_cache::MachineLoad,
     },
 };
 
@@ -54,10 +54,8 @@
 impl FleetState {
     /// Machines that no replica is to be moved to.
     pub(super) fn unavailable_machines(&self) -> BTreeSet<MachineId> {
-        self.refusing
-            .union(&self.draining_machines)
-            .cloned()
-            .collect()
+        let draining = self.draining_machines.iter();
+        self.refusing.iter().chain(draining).cloned().collect()
     }
 }
 
@@ -104,7 +102,7 @@
     fn plan_replica_moves(&self, cache: &StateCache, fleet: &FleetState) -> ReplicaMoves {
         let unavailable = fleet.unavailable_machines();
         let mut moves = ReplicaMoves::default();
-        for id in &fleet.draining_machines {
+        for id in fleet.draining_machines.iter() {
             let Some((_, entry)) = cache.shard_of(id) else {
                 continue;
             };
@@ -244,11 +242,3 @@
 fn is_marked_draining(shard: &ShardRecord, machine: &MachineId) -> bool {
     shard.machines.get(machine) == Some(&MachineUse::Draining)
 }
-
-/// Whether a placed task is known to be a replica of a service.
-fn is_replica(placed: &PlacedTask) -> bool {
-    placed
-        .spec
-        .as_ref()
-        .is_some_and(|spec| spec.kind == JobKind::Service)
-}
--- a/src/coordination/leader/fleet/failure_detector.rs
+++ b/src/coordination/leader/fleet/failure_detector.rs
@@ -69,10 +69,7 @@
             }
             state.fleet.draining_machines.remove(&found.machine);
         }
-        state
-            .fleet
-            .draining_machines
-            .retain(|id| cache.machines.contains_key(id));
+        state.fleet.draining_machines.observe(cache);
         verifications
     }
 
--- a/src/coordination/leader/fleet/miss_rate_band.rs
+++ b/src/coordination/leader/fleet/miss_rate_band.rs
@@ -92,7 +92,7 @@
             waiting = waiting.total,
             machines = machines.len(),
             utilisation = mean_utilisation(&machines),
-            draining = fleet.draining_machines.len(),
+            draining = fleet.draining_machines.count(),
             requested = total,
             "band"
         );
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod autoscaler;
 mod catalog;
 mod drain_selection;
+mod draining;
 mod eviction;
 mod failure_detector;
 mod inventory;
--- a/src/coordination/leader/fleet/state.rs
+++ b/src/coordination/leader/fleet/state.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::{
+    draining::DrainingMachines,
     market::{CapacityRefusal, ProvisionTarget},
     probes::IndirectProbe,
 };
@@ -15,7 +16,7 @@
 #[derive(Debug, Default)]
 pub struct FleetState {
     /// To be released, each at the end of its paid period.
-    pub draining_machines: BTreeSet<MachineId>,
+    pub draining_machines: DrainingMachines,
     /// What the cloud has lately refused to provision.
     pub(super) refused: BTreeMap<ProvisionTarget, CapacityRefusal>,
     /// Machines that a round asked for and no place had: asked for elsewhere.
--- a/src/coordination/leader/shards/machine_assignment.rs
+++ b/src/coordination/leader/shards/machine_assignment.rs
@@ -122,7 +122,7 @@
         let mut changes: Vec<UseChange> = Vec::new();
         for (id, shard) in &self.shards {
             for (machine, current_use) in &shard.machines {
-                let new_use = self.machine_use(shard, machine, inputs);
+                let new_use = self.machine_use(shard, machine, *current_use, inputs);
                 if new_use != *current_use {
                     changes.push(UseChange {
                         shard: *id,
@@ -146,6 +146,7 @@
         &self,
         shard: &ShardRecord,
         machine: &MachineId,
+        current_use: MachineUse,
         inputs: &ShardPlanInputs,
     ) -> MachineUse {
         let target = inputs.owner_unreachable.get(machine);
@@ -154,9 +155,11 @@
         if is_handed_off || inputs.releasing.contains(machine) {
             return MachineUse::Cordoned;
         }
-        // One that is idle gets no more offers, which costs no change.
+        // One that is idle gets no more offers, which costs no change. One that has emptied
+        // keeps its mark, which costs none either: its owner would place replicas there.
         let is_idle = !self.cache.on_machine.contains_key(machine);
-        if inputs.draining_machines.contains(machine) && !is_idle {
+        let is_marked = current_use == MachineUse::Draining;
+        if inputs.draining_machines.contains(machine) && (is_marked || !is_idle) {
             return MachineUse::Draining;
         }
         MachineUse::Available
