--- a/src/coordination/context.rs
+++ b/src/coordination/context.rs
@@ -3,14 +3,12 @@
 //!
 //! Whoever locks several things takes the store's cache first, then a duty's own state.
 
-use std::{
-    sync::{Mutex, MutexGuard},
-    time::Duration,
-};
+use std::{sync::Mutex, time::Duration};
 
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+pub(super) use crate::storage::lock;
 use crate::{
     coordination::{
         clients::{AgentClient, CloudClient, PeerClient, ProtocolVersion},
@@ -20,19 +18,12 @@
     },
     storage::{
         ControllerName, KeyValueStore, MachineId, Revision, ShardId, StateCache, Store,
+        change_signal::ChangeListener,
         records::{AllocationRecord, ShardRecord},
         state_cache::Versioned,
     },
 };
 
-/// Locks a duty's state.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // A poisoned lock means a duty has panicked, which ends the process anyway.
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 /// The clients through which a controller reaches everything outside its process.
 pub struct Clients {
     /// The consensus-backed key-value store.
@@ -96,6 +87,25 @@
         }
     }
 
+    /// Waits until the cache has changed, `wakeup` is notified or `idle` has passed; all changes
+    /// so far then count as seen. Returns false as soon as the controller is to stop.
+    pub(super) async fn wait_for_work(
+        &self,
+        changes: &mut ChangeListener<'_>,
+        wakeup: &Notify,
+        idle: Duration,
+    ) -> bool {
+        tokio::select! {
+            biased;
+            () = self.shutdown.cancelled() => return false,
+            () = changes.changed() => {}
+            () = wakeup.notified() => {}
+            () = tokio::time::sleep(idle) => {}
+        }
+        changes.mark_seen();
+        true
+    }
+
     /// The revision of this process's claim to leadership, if the cache shows that it leads.
     pub(super) fn leadership(&self) -> Option<Revision> {
         let cache = self.store.cache();
--- a/src/coordination/leader/fleet/catalog.rs
+++ b/src/coordination/leader/fleet/catalog.rs
@@ -52,16 +52,13 @@
     }
 
     fn is_catalog_due(&self) -> bool {
-        let state = lock(&self.state);
         let is_known = self.context.store.cache().catalog.is_some();
         let interval = if is_known {
             POLL_INTERVAL
         } else {
             FIRST_POLL_INTERVAL
         };
-        state
-            .fleet
-            .last_catalog
-            .is_none_or(|at| at.elapsed() >= interval)
+        let last_read = lock(&self.state).fleet.last_catalog;
+        last_read.is_none_or(|at| at.elapsed() >= interval)
     }
 }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -93,16 +93,12 @@
 
     /// Duty: the leader's quick loop. On a controller that does not lead it waits.
     pub(super) async fn run(self: &Arc<Self>) {
-        let mut changes = self.context.store.changes();
-        while !self.context.shutdown.is_cancelled() {
-            tokio::select! {
-                biased;
-                _ = self.context.shutdown.cancelled() => return,
-                () = changes.changed() => {}
-                _ = self.context.leader_wakeup.notified() => {}
-                _ = tokio::time::sleep(IDLE_PASS_INTERVAL) => {}
-            }
-            changes.mark_seen();
+        let context = &self.context;
+        let mut changes = context.store.changes();
+        while context
+            .wait_for_work(&mut changes, &context.leader_wakeup, IDLE_PASS_INTERVAL)
+            .await
+        {
             let started = Instant::now();
             if self.context.store.is_loaded()
                 && self.context.store.is_reachable()
--- a/src/coordination/owner/commits.rs
+++ b/src/coordination/owner/commits.rs
@@ -12,12 +12,10 @@
     planned_changes::{PlannedChanges, RecordChange},
 };
 use crate::{
-    coordination::{
-        clients::Command, context::lock, policy::zone_constraint::CONDITIONS_PER_CHANGE,
-    },
+    coordination::{clients::Command, context::lock},
     storage::{
-        AgentEpoch, CommitError, MachineId, Priority, Revision, StateCache, Transaction, keys,
-        rate_limiter::RequestPriority,
+        AgentEpoch, CommitError, MachineId, Priority, Revision, StateCache, Transaction,
+        client::CONDITIONS_PER_CHANGE, keys, rate_limiter::RequestPriority,
     },
 };
 
--- a/src/coordination/owner/placement.rs
+++ b/src/coordination/owner/placement.rs
@@ -6,7 +6,7 @@
 
 use super::{
     super::{
-        policy::zone_constraint::{CONDITIONS_PER_CHANGE, ZoneConstraint, ZoneScope},
+        policy::zone_constraint::{ZoneConstraint, ZoneScope},
         zone_usage,
     },
     OwnerState, ShardOwner,
@@ -21,6 +21,7 @@
     },
     storage::{
         JobId, JobKind, JobSpec, MachineId, Quota, ShardId, StateCache, TaskId, TeamName, ZoneName,
+        client::CONDITIONS_PER_CHANGE,
         keys,
         records::AllocationRecord,
         state_cache::{Job, Versioned},
--- a/src/coordination/owner/round.rs
+++ b/src/coordination/owner/round.rs
@@ -30,16 +30,12 @@
 impl ShardOwner {
     /// Duty: the owner's loop.
     pub(in crate::coordination) async fn run(self: &Arc<Self>) {
-        let mut changes = self.context.store.changes();
-        while !self.context.shutdown.is_cancelled() {
-            tokio::select! {
-                biased;
-                _ = self.context.shutdown.cancelled() => return,
-                () = changes.changed() => {}
-                _ = self.context.owner_wakeup.notified() => {}
-                _ = tokio::time::sleep(IDLE_ROUND_INTERVAL) => {}
-            }
-            changes.mark_seen();
+        let context = &self.context;
+        let mut changes = context.store.changes();
+        while context
+            .wait_for_work(&mut changes, &context.owner_wakeup, IDLE_ROUND_INTERVAL)
+            .await
+        {
             let started = Instant::now();
             if self.context.store.is_loaded() {
                 self.run_round().await;
--- a/src/coordination/policy/zone_constraint.rs
+++ b/src/coordination/policy/zone_constraint.rs
@@ -12,15 +12,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::storage::{JobSpec, ZoneName, keys};
+use crate::storage::{JobSpec, ZoneName, client::CONDITIONS_PER_CHANGE, keys};
 
 /// Conditions of a placement beside the job's run records: the controller's quota, the
 /// spec, the outcome, and one shard.
 const OTHER_CONDITIONS: usize = 4;
 
-/// Conditions of a transaction for each change that the state service allows.
-pub const CONDITIONS_PER_CHANGE: usize = 4;
-
 /// What the placement of a zone-bound job's task is conditional on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ZoneScope {
--- a/src/storage/client/commits.rs
+++ b/src/storage/client/commits.rs
@@ -6,7 +6,7 @@
 /// How often a commit that was throttled is repeated.
 const MAX_RETRIES: u32 = 4;
 /// Conditions that the service takes in a transaction, for each change that it takes.
-const CONDITIONS_PER_CHANGE: usize = 4;
+pub const CONDITIONS_PER_CHANGE: usize = 4;
 
 impl Store {
     /// Commits, and puts the changes into the cache. Overload answers are never
--- a/src/storage/client/mod.rs
+++ b/src/storage/client/mod.rs
@@ -20,6 +20,7 @@
     time::Duration,
 };
 
+pub use commits::CONDITIONS_PER_CHANGE;
 pub use counters::StoreCounters;
 pub use errors::{CommitError, StateError};
 pub use key_value_store::{KeyValue, KeyValueStore, RangePage, StateLimits, WatchEvent};
@@ -32,6 +33,7 @@
 use super::{
     change_signal::{ChangeListener, ChangeSignal},
     ids::Revision,
+    locking::lock,
     rate_limiter::{RateLimiter, RequestPriority},
     state_cache::StateCache,
 };
@@ -82,13 +84,6 @@
     last_read: Mutex<Instant>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // A poisoned lock means a duty has panicked, which ends the process anyway.
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 impl Store {
     /// A store with an empty cache, which [`Self::watch`] fills.
     pub fn new(key_value_store: Box<dyn KeyValueStore>, limits: StateLimits) -> Self {
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -8,6 +8,7 @@
 pub mod ids;
 pub mod jitter;
 pub mod keys;
+mod locking;
 pub mod model;
 pub mod rate_limiter;
 pub mod records;
@@ -15,5 +16,6 @@
 
 pub use client::{CommitError, KeyValueStore, StateError, StateLimits, Store, Transaction};
 pub use ids::*;
+pub(crate) use locking::lock;
 pub use model::*;
 pub use state_cache::StateCache;
