The autoscaler counts machines as the last routing pass saw them

Symptom: a service waited 22 s for an ordinary machine beside an array on spot machines. Cause: a machine that came up between a routing pass and the autoscaler's was counted neither as booting nor as room, so that its tasks were provisioned for twice; the remedial rule takes off what boots, which put the other job's machine off. Offers to booting machines had hidden it. Change: the routing pass notes which machines were booting in it; they count as booting until the next pass.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -43,6 +43,7 @@
         let estimator = lock(&self.context.estimator);
         let mut state = lock(&self.state);
         let failing = state.failing_jobs();
+        state.note_booting(&cache);
         let free_capacity = self.free_capacity(&cache, &state);
         state.free = free_capacity.free_quota();
         let state = &mut *state;
--- a/src/coordination/leader/fleet/autoscaler.rs
+++ b/src/coordination/leader/fleet/autoscaler.rs
@@ -65,6 +65,7 @@
             fleet,
             miss_rate,
             unplaced,
+            booting_when_routed,
             routing_counts,
             elected_at,
             ..
@@ -73,7 +74,10 @@
         let wall = (self.context.config.wall)();
         let market = Market::new(cache, &refused, tuning, now, wall);
         observe_miss_rate(miss_rate, &market, unplaced, tuning);
-        let need = machine_need(&market, unplaced, now_ms, &up);
+        // A machine that has come up since the last routing pass still has room for tasks that
+        // were unplaced in it.
+        let was_up = |id: &MachineId| up.contains(id) && !booting_when_routed.contains(id);
+        let need = machine_need(&market, unplaced, now_ms, was_up);
         let is_round_due = fleet
             .last_round
             .or(*elected_at)
@@ -124,9 +128,9 @@
     market: &Market<'_>,
     unplaced: &'a [Unplaced],
     now_ms: u64,
-    up: &BTreeSet<MachineId>,
+    was_up: impl Fn(&MachineId) -> bool,
 ) -> MachineNeed<'a> {
-    let mut booting = booting_candidates(market.cache, now_ms, |id| up.contains(id));
+    let mut booting = booting_candidates(market.cache, now_ms, was_up);
     booting.extend(requested_candidates(market.cache));
     let booting_count = booting.len() as u32;
     MachineNeed {
--- a/src/coordination/leader/state.rs
+++ b/src/coordination/leader/state.rs
@@ -112,6 +112,8 @@
     pub(super) zone_assignments: BTreeMap<JobId, Instant>,
     /// Waiting tasks that found no room in the last routing pass.
     pub(super) unplaced: Vec<routing::Unplaced>,
+    /// Machines that were booting in that pass, so that it gave them nothing.
+    pub(super) booting_when_routed: BTreeSet<MachineId>,
     /// What became of the waiting tasks in the last routing pass, for the log.
     pub(super) routing_counts: routing::RoutingCounts,
     /// Machines that are terminated with tasks on them, since when.
@@ -294,10 +296,20 @@
         })
     }
 
+    /// Remembers which machines a routing pass could give nothing, as they were booting.
+    pub(super) fn note_booting(&mut self, cache: &StateCache) {
+        let machines = cache.machines.keys();
+        self.booting_when_routed = machines
+            .filter(|id| !self.is_up(cache, id))
+            .cloned()
+            .collect();
+    }
+
     /// Nothing waits for a place: what the last routing pass found no longer holds.
     pub(super) fn clear_routing(&mut self) {
         self.offered.clear();
         self.unplaced.clear();
+        self.booting_when_routed.clear();
         self.routing_counts = Default::default();
         self.deficit.clear();
         self.reserved.clear();
