--- a/tests/determinism.rs
+++ b/tests/determinism.rs
@@ -5,7 +5,7 @@
 //! the same commit, and no command showed it again: the order in which a change of the state
 //! cache woke the leader's and the owner's loop of a controller was drawn anew in every play.
 //! `tokio::sync::watch` spreads its receivers over eight lists by a generator that the runtime
-//! seeds from the operating system. Twelve plays of `fleet` with the same seed gave twelve
+//! seeds from the operating system. Six plays of `fleet` with the same seed gave six
 //! counts of changes between 996 and 1188.
 
 use std::{
