--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -366,7 +366,6 @@
         self.renewed = time.monotonic()
         self.node = None
         self.changed = asyncio.Event()
-        self.reported = False
         self.jobs = []
 
     def note(self, text):
@@ -392,10 +391,6 @@
         self.tasks.clear()
         self.note("gone")
 
-    def reported_running(self):
-        """Whether the last answered report had a running task."""
-        return self.reported
-
     def present(self):
         return [key for key, entry in self.tasks.items() if entry[0] in ("running", "flushing")]
 
@@ -438,10 +433,9 @@
             self.changed.clear()
             if connection is None:
                 connection = Connection(self.world.nodes[self.node].serve_on)
-            sent, tenure, running = time.monotonic(), self.tenure, bool(self.present())
+            sent, tenure = time.monotonic(), self.tenure
             answer = await connection.request("POST", "/hello", self.body(), 4.0)
             if answer and answer[0] == 200:
-                self.reported = running
                 self.accept(answer[1], sent, tenure)
                 try:
                     await asyncio.sleep(0.5)
@@ -604,7 +598,6 @@
             self.count += 1
             mount = f"vm-{self.count:06}"
             breed = next(b for b in self.breeds if b["label"] == value["breed"])
-            self.world.breed_of[mount] = value["breed"]
             self.machines[mount] = [breed, value["paddock"], value["loaners"], time.monotonic(), None]
             mounts.append(mount)
             self.world.spawn(self.boot(mount))
@@ -739,7 +732,6 @@
         self.jobs = {}  # descriptions that users uploaded
         self.starts = []  # (time, machine, task, attempt)
         self.present = {}  # (machine, task, attempt) -> start
-        self.breed_of = {}  # machine -> type
         self.tasks = set()
 
     def spawn(self, coroutine):
