Log and count responses of the state service that arrive after newer ones

Three explanations could not be told apart by the log: the request's record is never removed from the state service; an older response to a read of changes brings it back into the cache; the late response to a commit does so. Change: `changes read late` (debug, with the cache's revision and the first keys) and `commit answered late` (debug); `late_reads` and `late_commits` in `counters`.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -148,6 +148,8 @@
                 written = ?counts.written,
                 refused = counts.conflicted,
                 throttled = counts.throttled,
+                late_reads = counts.late_reads,
+                late_commits = counts.late_commits,
                 jobs,
                 waiting,
                 owned,
--- a/src/storage/client/commits.rs
+++ b/src/storage/client/commits.rs
@@ -1,7 +1,7 @@
 //! Commits: rate-limited, retried when throttled, and applied to the cache as soon as they
 //! succeed.
 
-use super::{CommitError, Operation, StateError, Store, Transaction};
+use super::{CommitError, Operation, StateError, Store, Transaction, lock};
 use crate::storage::{ids::Revision, jitter, rate_limiter::RequestPriority};
 
 /// Maximum number of retries of a throttled commit.
@@ -81,6 +81,10 @@
     /// them.
     fn apply_commit(&self, transaction: &Transaction, revision: Revision) {
         let mut cache = self.cache();
+        if revision <= cache.revision {
+            lock(&self.counters).late_commits += 1;
+            tracing::debug!(%revision, applied = %cache.revision, "commit answered late");
+        }
         for operation in &transaction.operations {
             match operation {
                 Operation::Put { key, value, .. } => cache.set(key, value.clone(), revision),
--- a/src/storage/client/counters.rs
+++ b/src/storage/client/counters.rs
@@ -18,6 +18,11 @@
     pub conflicted: u32,
     /// Number of commits that the service did not execute because a rate limit was exceeded.
     pub throttled: u32,
+    /// Number of reads of changes whose response arrived after a newer one: the cache had already
+    /// passed some of their changes.
+    pub late_reads: u32,
+    /// Number of commits whose response arrived after the cache had passed their revision.
+    pub late_commits: u32,
 }
 
 impl Store {
--- a/src/storage/client/key_value_store.rs
+++ b/src/storage/client/key_value_store.rs
@@ -55,6 +55,24 @@
     },
 }
 
+impl WatchEvent {
+    /// The key that was set or removed.
+    pub fn key(&self) -> &str {
+        match self {
+            WatchEvent::Put(item) => &item.key,
+            WatchEvent::Delete { key, .. } => key,
+        }
+    }
+
+    /// The revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            WatchEvent::Put(item) => item.revision,
+            WatchEvent::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
 /// One page of the keys with a prefix, in key order.
 #[derive(Clone, Debug)]
 pub struct RangePage {
--- a/src/storage/client/reads.rs
+++ b/src/storage/client/reads.rs
@@ -22,6 +22,8 @@
 const WATCH_DELAY_FACTOR: f64 = 1.25;
 /// Maximum number of callers that wait for a read barrier at a time.
 const MAX_BARRIER_WAITERS: usize = 2_000;
+/// Maximum number of keys in a log line.
+const MAX_LOGGED_KEYS: usize = 8;
 /// Time without a read of changes after which the whole live set is read again.
 const FULL_READ_AFTER: Duration = Duration::from_secs(12);
 
@@ -174,6 +176,7 @@
             if cache.revision < from {
                 return Err(StateError::TooOld);
             }
+            self.note_late_read(&events, cache.revision, started);
             apply(&mut cache, events);
             cache.advance(revision);
         }
@@ -189,6 +192,18 @@
         Ok(())
     }
 
+    /// Counts and logs a read whose response arrived after a newer one: `applied`, the cache's
+    /// revision, includes some of its changes.
+    fn note_late_read(&self, events: &[WatchEvent], applied: Revision, started: Instant) {
+        let late = events.iter().filter(|event| event.revision() <= applied);
+        let keys: Vec<&str> = late.take(MAX_LOGGED_KEYS).map(WatchEvent::key).collect();
+        if keys.is_empty() {
+            return;
+        }
+        lock(&self.counters).late_reads += 1;
+        tracing::debug!(%applied, ?keys, after = ?started.elapsed(), "changes read late");
+    }
+
     /// Reads the whole live set, at the start and after a gap in the watch.
     async fn load(&self) -> Result<(), StateError> {
         let started = Instant::now();
