A change that the cache has passed sets nothing: removed records stay removed

A job was accepted and never started, while the cloud had 19 machines to give; the leader sent one provision request about twice a second for 90 s. Cause: watch, read barriers and commits have their requests open side by side. A response that arrived after a newer one was applied; a removed key has no cached value whose revision could be compared, so that the older value was set again, and its removal, below the cache's revision, is never delivered again. The restored record here was the provision request. Change: `StateCache::set` ignores a change at or below the cache's revision, whether a read or the response to a commit brings it; outcomes, which are never removed, are still remembered. Simulator: `state delay-responses`. The fixture of `changes_of_use_are_deferrable_and_leases_are_not` set a shard at revision 90 in a cache at 100, which no service delivers; it now uses 101 and 102, and checks the same.

--- a/crates/simulator/src/scenario/actions.rs
+++ b/crates/simulator/src/scenario/actions.rs
@@ -206,6 +206,13 @@
                 simulation.set_response_loss(0.0);
             });
         }
+        "delay-responses" => {
+            let late = words.seconds("late", 0.5);
+            simulation.set_response_delay(Delay::new(words.number("share", 0.2), late));
+            undo_later(simulation, duration, |simulation| {
+                simulation.set_response_delay(Delay::default());
+            });
+        }
         "latency" => {
             simulation.set_latency(words.seconds("by", 0.5));
             undo_later(simulation, duration, |simulation| {
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -128,6 +128,8 @@
     partitions: Mutex<Vec<Partition>>,
     /// Share of the state service's answers that are lost after the request was executed.
     response_loss: Mutex<f64>,
+    /// Share of the state service's responses that arrive late, and the maximum delay.
+    response_delay: Mutex<Delay>,
     /// Share of the transactions that are applied late and never answered, and the maximum
     /// delay.
     commit_delay: Mutex<Delay>,
@@ -223,6 +225,7 @@
             controllers: Mutex::new(controller_slots(&settings.zones, settings.controllers)),
             partitions: Mutex::default(),
             response_loss: Mutex::new(0.0),
+            response_delay: Mutex::default(),
             commit_delay: Mutex::default(),
             paused_until: Mutex::default(),
             cloud: Mutex::default(),
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -127,6 +127,11 @@
             format!("{from} -> {to}: {status} {value}")
         });
         tokio::time::sleep(jitter::millis(1, 5)).await;
+        if request.address == "state"
+            && let Some(delay) = self.simulation.draw_response_delay()
+        {
+            tokio::time::sleep(delay).await;
+        }
         if self.draw_response_loss(&request)
             || self
                 .simulation
--- a/crates/simulator/src/simulation/network_faults.rs
+++ b/crates/simulator/src/simulation/network_faults.rs
@@ -60,6 +60,18 @@
         *self.response_loss.lock().expect("response loss lock") = share;
     }
 
+    /// Sets the share of the state service's responses that arrive late, possibly after the
+    /// responses to requests that were executed later.
+    pub fn set_response_delay(&self, delay: Delay) {
+        *self.response_delay.lock().expect("response delay lock") = delay;
+    }
+
+    /// Draws by how much a response of the state service is delayed; `None` if it is not.
+    pub(super) fn draw_response_delay(&self) -> Option<Duration> {
+        let delay = *self.response_delay.lock().expect("response delay lock");
+        delay.draw(Duration::ZERO)
+    }
+
     /// Sets the maximum additional latency of the state service's answers.
     pub fn set_latency(&self, max: Duration) {
         *self.max_latency.lock().expect("latency lock") = max;
--- a/src/coordination/leader/shards/tests/leases.rs
+++ b/src/coordination/leader/shards/tests/leases.rs
@@ -73,7 +73,7 @@
     };
     let value =
         serde_json::to_value(record("n0", MachineUse::Available)).expect("serializable record");
-    cache.set("block/1", value, Revision(90));
+    cache.set("block/1", value, Revision(101));
     let change = |shard: ShardRecord| ShardPlanChanges {
         targets: Targets::default(),
         allocations: BTreeMap::new(),
@@ -87,7 +87,7 @@
         !change(without.clone()).is_deferrable(&cache),
         "its machine is not terminated"
     );
-    cache.delete("machine/r-1", Revision(91));
+    cache.delete("machine/r-1", Revision(102));
     assert!(change(without).is_deferrable(&cache));
     let mut with_allocation = change(record("n0", MachineUse::Draining));
     with_allocation
--- a/src/storage/client/mod.rs
+++ b/src/storage/client/mod.rs
@@ -195,3 +195,6 @@
         (limit * MAX_SHARE).max(MIN_INITIAL_RATE_PER_S),
     )
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/storage/client/reads.rs
+++ b/src/storage/client/reads.rs
@@ -171,8 +171,9 @@
         let has_changes = !events.is_empty();
         {
             let mut cache = self.cache();
-            // A concurrent full read may have replaced the cache. Events that it already
-            // includes are harmless, but it must not miss any between its revision and `from`.
+            // A concurrent full read may have replaced the cache, or a concurrent read of changes
+            // may have advanced it. The cache ignores the events that it has passed, but it must
+            // not miss any between its revision and `from`.
             if cache.revision < from {
                 return Err(StateError::TooOld);
             }
@@ -205,7 +206,7 @@
     }
 
     /// Reads the whole live set, at the start and after a gap in the watch.
-    async fn load(&self) -> Result<(), StateError> {
+    pub(super) async fn load(&self) -> Result<(), StateError> {
         let started = Instant::now();
         let mut fresh = self.read_live_set().await?;
         tracing::info!(
--- a/src/storage/state_cache/changes.rs
+++ b/src/storage/state_cache/changes.rs
@@ -1,4 +1,5 @@
-//! Applies changes of keys to the cache, each only if it is newer than the cached value.
+//! Applies changes of keys to the cache, each only if the cache has not passed it and it is newer
+//! than the cached value.
 
 use std::collections::BTreeMap;
 
@@ -17,18 +18,18 @@
 
 impl StateCache {
     /// Sets a key to the value that it has had since `revision`. Has no effect if the change is
-    /// older than the cached value, the key is unknown or the value is unreadable.
+    /// older than the cached value, the cache has passed it, the key is unknown or the value is
+    /// unreadable.
     pub fn set(&mut self, key: &str, value: Value, revision: Revision) {
-        if self
-            .own_deletions
-            .get(key)
-            .is_some_and(|deleted_at| *deleted_at >= revision)
-        {
-            return;
-        }
         let Some(parsed) = Key::parse(key) else {
             return;
         };
+        // Outcomes are never removed. They are not part of a full read either, so that one that
+        // the cache has passed may still be new to it.
+        let is_outcome = matches!(parsed, Key::JobOutcome(_));
+        if !is_outcome && self.has_passed(key, revision) {
+            return;
+        }
         let change = ValueChange {
             key,
             value,
@@ -58,6 +59,15 @@
         }
     }
 
+    /// Whether the cache already reflects what the key was set to at `revision`: the watch has
+    /// passed that revision, or this controller has removed the key since. The response that
+    /// carries such a change arrived after a newer one. If the key was removed in between, it has
+    /// no cached value to compare revisions with, and no further response would remove it again.
+    fn has_passed(&self, key: &str, revision: Revision) -> bool {
+        let deleted_at = self.own_deletions.get(key);
+        revision <= self.revision || deleted_at.is_some_and(|deleted_at| *deleted_at >= revision)
+    }
+
     fn set_spec(&mut self, id: JobId, change: ValueChange<'_>) {
         let job = self.jobs.entry(id.clone()).or_default();
         if let Some(spec) = change.read_if_newer(job.spec.as_ref()) {
--- a/src/storage/state_cache/mod.rs
+++ b/src/storage/state_cache/mod.rs
@@ -1,9 +1,10 @@
 //! The state cache: the replica of the state service's live set (see
 //! [`LIVE_PREFIXES`](crate::storage::keys::LIVE_PREFIXES)) that every controller keeps.
 //!
-//! Changes arrive from the watch, and earlier from the controller's own commits. Each entry
-//! keeps its revision, so that changes from the two sources may arrive in any order and more
-//! than once. `Store` applies the changes; all background tasks read the cache.
+//! Changes arrive from the reads of changes, and earlier from the controller's own commits. They
+//! may arrive in any order and more than once: each entry keeps its revision, and a change that
+//! the cache has passed sets nothing, since its key may have been removed meanwhile. `Store`
+//! applies the changes; all background tasks read the cache.
 
 mod cancellations;
 mod changes;
--- a/src/storage/state_cache/tests.rs
+++ b/src/storage/state_cache/tests.rs
@@ -34,6 +34,32 @@
     assert!(cache.own_deletions.is_empty());
 }
 
+/// Guards against a removed key that is set again by a change that arrives after its removal.
+#[test]
+fn a_change_that_the_cache_has_passed_does_not_restore_a_removed_key() {
+    let mut cache = StateCache::default();
+    cache.set("run/job-1/0", run("vm-1"), Revision(5));
+    cache.delete("run/job-1/0", Revision(8));
+    cache.advance(Revision(8));
+    for passed in [5, 7, 8] {
+        cache.set("run/job-1/0", run("vm-1"), Revision(passed));
+        assert!(cache.jobs.is_empty() && cache.machine_loads.is_empty());
+    }
+    cache.set("run/job-1/0", run("vm-2"), Revision(9));
+    assert!(cache.machine_loads.contains_key(&MachineId::new("vm-2")));
+}
+
+/// A full read does not include outcomes, so that the response to the commit of an outcome may
+/// arrive when the cache has passed it.
+#[test]
+fn an_outcome_that_the_cache_has_passed_is_remembered() {
+    let mut cache = StateCache::default();
+    cache.advance(Revision(8));
+    let outcome = json!({"fate": "cancelled", "done": 0});
+    cache.set("fate/job-1", outcome, Revision(7));
+    assert!(cache.outcome(&JobId::new("job-1")).is_some());
+}
+
 /// Guards against treating a machine that returned to an earlier owner as continuously owned:
 /// commands of the owner in between may still be in flight.
 #[test]
