Scenarios compare the controllers' caches with the state service; chaos with late responses

Change: whenever a controller's cache is at the simulated service's revision, its keys and their revisions must be the service's (`cache_differs`, every 3 s in every scenario, not on loopback). `StateCache::key_revisions` serves this and the client's tests. Chaos plays its 32 seeds once more with late responses.

--- a/crates/simulator/src/rules/events.rs
+++ b/crates/simulator/src/rules/events.rs
@@ -56,6 +56,14 @@
     AttemptReused(TaskId, u64),
     /// A controller was sent a message that its version cannot read.
     UnreadableMessage(String),
+    /// A controller's state cache is at the state service's revision, but one of its keys has
+    /// another revision there, or is missing on one side.
+    CacheDiffers {
+        /// The controller.
+        controller: String,
+        /// The key.
+        key: String,
+    },
 }
 
 /// An answer to a user's request about a job.
--- a/crates/simulator/src/rules/mod.rs
+++ b/crates/simulator/src/rules/mod.rs
@@ -100,6 +100,8 @@
     max_cancel_time: Duration,
     /// When all injected faults were over; `None` until then.
     faults_ended_at: Option<Duration>,
+    /// Keys that were already reported as differing from the state service, with the controllers.
+    reported_keys: BTreeSet<String>,
     /// The rule violations found so far, one line each.
     pub violations: Vec<String>,
     /// Number of task starts.
@@ -116,6 +118,7 @@
             limits,
             max_cancel_time,
             faults_ended_at: None,
+            reported_keys: BTreeSet::new(),
             violations: Vec::new(),
             task_starts: 0,
         }
@@ -161,6 +164,12 @@
                 let what = format!("{controller} cannot read a message");
                 self.report(at, Rule::Unreadable, what);
             }
+            Event::CacheDiffers { controller, key } => {
+                let what = format!("{controller} has another {key}");
+                if self.reported_keys.insert(what.clone()) {
+                    self.report(at, Rule::CacheDiffers, what);
+                }
+            }
             Event::InvalidSubmissionAnswered {
                 what,
                 expected,
--- a/crates/simulator/src/rules/violations.rs
+++ b/crates/simulator/src/rules/violations.rs
@@ -33,6 +33,8 @@
     Reused,
     /// A controller was sent a message that its version cannot read.
     Unreadable,
+    /// A controller's state cache differs from the state service at the same revision.
+    CacheDiffers,
     /// An invalid submission was answered with an unexpected HTTP status.
     WrongStatus,
 }
@@ -53,6 +55,7 @@
             Rule::Unserved => "unserved",
             Rule::Reused => "reused",
             Rule::Unreadable => "unreadable",
+            Rule::CacheDiffers => "cache_differs",
             Rule::WrongStatus => "wrong_status",
         })
     }
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -9,6 +9,7 @@
 mod network;
 mod network_faults;
 mod requests;
+mod state_caches;
 mod tasks;
 
 pub use network::SimNet;
@@ -135,6 +136,8 @@
     commit_delay: Mutex<Delay>,
     /// End of the pause of each paused controller. The clocks of a paused process keep running.
     paused_until: Mutex<BTreeMap<String, Instant>>,
+    /// When the controllers' state caches were last compared with the state service.
+    caches_compared_at: Mutex<Instant>,
     cloud: Mutex<Cloud>,
     /// Numbers of the machines on which every task fails.
     faulty_machines: Mutex<BTreeSet<usize>>,
@@ -228,6 +231,7 @@
             response_delay: Mutex::default(),
             commit_delay: Mutex::default(),
             paused_until: Mutex::default(),
+            caches_compared_at: Mutex::new(Instant::now()),
             cloud: Mutex::default(),
             faulty_machines: Mutex::default(),
             reported_states: Mutex::default(),
@@ -303,6 +307,7 @@
     /// Also delivers kept heartbeat duplicates if a new leader has started.
     pub fn check_rules(self: &Arc<Self>) {
         self.deliver_kept_duplicates();
+        self.check_state_caches();
         self.rules
             .lock()
             .expect("rules lock")
--- a/crates/simulator/src/state_service/mod.rs
+++ b/crates/simulator/src/state_service/mod.rs
@@ -15,7 +15,10 @@
 };
 
 use serde_json::{Value, json};
-use stallcove::protocol::key_value_store::LeaseRequest;
+use stallcove::{
+    protocol::key_value_store::LeaseRequest,
+    storage::{Revision, keys},
+};
 use tokio::{sync::Notify, time::Instant};
 
 use database::{Database, SizeLimits};
@@ -59,6 +62,14 @@
     pub write_rps: f64,
 }
 
+/// The keys of the live set at one revision of the service.
+pub struct LiveSet {
+    /// The revision of the last change.
+    pub revision: Revision,
+    /// The keys, each with the revision of its last change.
+    pub keys: BTreeMap<String, Revision>,
+}
+
 /// HTTP status and body of an answer.
 pub type Reply = (u16, Value);
 
@@ -140,6 +151,21 @@
             .count()
     }
 
+    /// Returns the keys of the live set.
+    pub fn live_set(&self) -> LiveSet {
+        let database = self.lock();
+        let live = database.entries.iter().filter(|(key, _)| {
+            let mut prefixes = keys::LIVE_PREFIXES.iter();
+            prefixes.any(|prefix| key.starts_with(prefix))
+        });
+        LiveSet {
+            revision: Revision(database.revision),
+            keys: live
+                .map(|(key, entry)| (key.clone(), Revision(entry.revision)))
+                .collect(),
+        }
+    }
+
     /// Starts or ends a fault in which this controller's requests get 503 and its long polls are
     /// held.
     pub fn set_rejected(&self, controller: &str, rejected: bool) {
--- a/src/storage/client/tests/mod.rs
+++ b/src/storage/client/tests/mod.rs
@@ -98,38 +98,6 @@
     start_read(store).await.expect("the read does not panic");
 }
 
-/// The keys in the cache, each with the revision of its value.
-fn cached_revisions(cache: &StateCache) -> BTreeMap<String, Revision> {
-    let mut revisions = BTreeMap::new();
-    for (id, job) in &cache.jobs {
-        revisions.extend(job.spec.iter().map(|spec| (keys::spec(id), spec.revision)));
-        revisions.extend(job.cleanup_since.map(|since| (keys::cleanup(id), since)));
-        for (record_index, run) in &job.run_records {
-            revisions.insert(keys::run(id, *record_index), run.revision);
-        }
-    }
-    for (id, entry) in &cache.allocations {
-        revisions.insert(keys::allocation(id), entry.revision);
-    }
-    for (id, entry) in &cache.shards {
-        revisions.insert(keys::shard(*id), entry.revision);
-    }
-    for (id, entry) in &cache.machine_groups {
-        revisions.insert(keys::machine_group(id), entry.revision);
-    }
-    for (id, entry) in &cache.provision_requests {
-        revisions.insert(keys::provision_request(id), entry.revision);
-    }
-    for (id, entry) in &cache.controllers {
-        revisions.insert(keys::controller(id), entry.revision);
-    }
-    let leader = cache.leader.iter();
-    revisions.extend(leader.map(|entry| (keys::LEADER.to_owned(), entry.revision)));
-    let catalog = cache.catalog.iter();
-    revisions.extend(catalog.map(|entry| (keys::CATALOG.to_owned(), entry.revision)));
-    revisions
-}
-
 /// Guards against a removed record that a late response to a watch sets again in the cache: a
 /// provision request that came back was sent without end, and an accepted job never ran.
 #[tokio::test(start_paused = true)]
@@ -145,10 +113,10 @@
         service.change(&delete(key));
     }
     read(&store).await;
-    assert_eq!(cached_revisions(&store.cache()), BTreeMap::new());
+    assert_eq!(store.cache().key_revisions(), BTreeMap::new());
     drop(late_response);
     watch.await.expect("the read does not panic");
-    assert_eq!(cached_revisions(&store.cache()), BTreeMap::new());
+    assert_eq!(store.cache().key_revisions(), BTreeMap::new());
     assert_eq!(store.take_counters().late_reads, 1);
 }
 
@@ -167,7 +135,7 @@
     read(&store).await;
     drop(late_response);
     commit.await.expect("the commit does not panic");
-    assert_eq!(cached_revisions(&store.cache()), BTreeMap::new());
+    assert_eq!(store.cache().key_revisions(), BTreeMap::new());
     assert_eq!(store.take_counters().late_commits, 1);
 }
 
@@ -190,7 +158,7 @@
         .expect("the read does not panic");
     drop(late_response);
     watch.await.expect("the read does not panic");
-    assert_eq!(cached_revisions(&store.cache()), BTreeMap::new());
+    assert_eq!(store.cache().key_revisions(), BTreeMap::new());
 }
 
 /// Starts a random request of the controller, and holds back the response to it.
@@ -242,7 +210,7 @@
         held.clear();
         settle().await;
         read(&store).await;
-        let cached = cached_revisions(&store.cache());
+        let cached = store.cache().key_revisions();
         assert_eq!(cached, service.revisions(), "seed {seed}");
     }
 }
--- a/src/storage/state_cache/queries.rs
+++ b/src/storage/state_cache/queries.rs
@@ -1,15 +1,37 @@
-//! Queries of the cache: owners of machines, resources in use, and quota in use.
+//! Queries of the cache: its keys, owners of machines, resources in use, and quota in use.
 
 use std::collections::BTreeMap;
 
 use super::{StateCache, Versioned};
 use crate::storage::{
     ids::{ControllerName, MachineId, Revision, ShardId, TeamName, TypeName},
+    keys,
     model::{MachineType, Quota, Resources},
     records::ShardRecord,
 };
 
 impl StateCache {
+    /// The keys of the live set, each with the revision of its cached value. A cache at the
+    /// service's revision has exactly the keys of the service.
+    pub fn key_revisions(&self) -> BTreeMap<String, Revision> {
+        let mut revisions = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            revisions.extend(job.spec.iter().map(|spec| (keys::spec(id), spec.revision)));
+            revisions.extend(job.cleanup_since.map(|since| (keys::cleanup(id), since)));
+            let runs = job.run_records.iter();
+            revisions.extend(runs.map(|(index, run)| (keys::run(id, *index), run.revision)));
+        }
+        revisions.extend(keyed(&self.allocations, keys::allocation));
+        revisions.extend(keyed(&self.shards, |id| keys::shard(*id)));
+        revisions.extend(keyed(&self.machine_groups, keys::machine_group));
+        revisions.extend(keyed(&self.provision_requests, keys::provision_request));
+        revisions.extend(keyed(&self.controllers, keys::controller));
+        revisions.extend(single(keys::LEADER, self.leader.as_ref()));
+        revisions.extend(single(keys::CATALOG, self.catalog.as_ref()));
+        revisions.extend(single(keys::COMMON_VERSION, self.common_version.as_ref()));
+        revisions
+    }
+
     /// The shard that a machine is in.
     pub fn shard_of(&self, machine: &MachineId) -> Option<(ShardId, &Versioned<ShardRecord>)> {
         let id = self.leases.get(machine)?.shard;
@@ -98,3 +120,18 @@
             .collect()
     }
 }
+
+/// The keys of a map's entries, each with the revision of its value.
+fn keyed<K, T>(
+    entries: &BTreeMap<K, Versioned<T>>,
+    key: impl Fn(&K) -> String,
+) -> impl Iterator<Item = (String, Revision)> {
+    entries
+        .iter()
+        .map(move |(id, entry)| (key(id), entry.revision))
+}
+
+/// The key of a record that has a single key, with the revision of its value, if it is cached.
+fn single<T>(key: &str, entry: Option<&Versioned<T>>) -> Option<(String, Revision)> {
+    entry.map(|entry| (key.to_owned(), entry.revision))
+}
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -10,6 +10,11 @@
 const SEEDS: std::ops::Range<u64> = 1..33;
 /// Seed `TRANSFERS_FROM + n` generates the scenario of seed `n` with quota transfers on.
 const TRANSFERS_FROM: u64 = 1_000_000;
+/// Seed `LATE_RESPONSES_FROM + n` generates the scenario of seed `n` with responses of the state
+/// service that arrive late, in any order.
+const LATE_RESPONSES_FROM: u64 = 2_000_000;
+/// Late responses for the whole time in which jobs are submitted and other faults happen.
+const LATE_RESPONSES: &str = "at 5 state delay-responses share=0.1 late=0.6 for=150";
 
 /// Number of jobs in a scenario, not counting those of job streams and upgrades.
 const JOBS: u32 = 14;
@@ -42,7 +47,9 @@
     let mut rng = StdRng::seed_from_u64(seed % TRANSFERS_FROM);
     let mut lines = vec![format!("seed {seed}")];
     lines.extend(CLUSTER.map(str::to_owned));
-    if seed >= TRANSFERS_FROM {
+    if seed >= LATE_RESPONSES_FROM {
+        lines.push(LATE_RESPONSES.into());
+    } else if seed >= TRANSFERS_FROM {
         lines.push("transfers".into());
     }
     for number in 0..JOBS {
@@ -305,8 +312,16 @@
     Some(from.parse().ok()?..to.parse().ok()?)
 }
 
-fn with_transfers(seeds: std::ops::Range<u64>) -> std::ops::Range<u64> {
-    TRANSFERS_FROM + seeds.start..TRANSFERS_FROM + seeds.end
+/// Returns the seeds that generate the same scenarios in a variant, which begins at seed `from`.
+fn in_variant(from: u64, seeds: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    from + seeds.start..from + seeds.end
+}
+
+fn default_seeds() -> Vec<u64> {
+    SEEDS
+        .chain(in_variant(TRANSFERS_FROM, SEEDS))
+        .chain(in_variant(LATE_RESPONSES_FROM, SEEDS))
+        .collect()
 }
 
 #[test]
@@ -315,7 +330,7 @@
         Ok(seed) => vec![seed.parse().expect("CHAOS_SEED must be a number")],
         Err(_) => match seeds_from_environment() {
             Some(seeds) => seeds.collect(),
-            None => SEEDS.chain(with_transfers(SEEDS)).collect(),
+            None => default_seeds(),
         },
     };
     let is_single_seed = seeds.len() == 1;
