An older status of a peer does not replace a newer one

A peer that has answered early may have sent a newer status of its own meanwhile, which was then replaced: for up to 0.8 s this controller went by the older word on whether the peer reaches the state service (`/ready`) and on its protocol version. Change: `PeerLiveness::note_status` ignores a status older than the recorded one. Test: an_older_status_does_not_replace_a_newer_one, seen failing before.

--- a/src/coordination/peer_liveness.rs
+++ b/src/coordination/peer_liveness.rs
@@ -42,7 +42,9 @@
 pub(super) struct PeerLiveness(Mutex<State>);
 
 impl PeerLiveness {
-    /// Records a peer's status. Returns whether its protocol version has changed or was unknown.
+    /// Records a peer's status, unless a newer one was recorded before: the statuses of a round are
+    /// recorded when its slowest peer has answered, and others arrive meanwhile. Returns whether
+    /// the peer's protocol version has changed or was unknown.
     pub(super) fn note_status(
         &self,
         peer: &ControllerName,
@@ -51,6 +53,10 @@
         as_of: Instant,
     ) -> bool {
         let mut state = lock(&self.0);
+        let known = state.last_status.get(peer);
+        if known.is_some_and(|last| last.as_of > as_of) {
+            return false;
+        }
         let last_status = LastStatus {
             as_of,
             state_service_reachable,
@@ -103,3 +109,6 @@
             .flatten()
     }
 }
+
+#[cfg(test)]
+mod tests;
