Failures on a machine get a module of their own; faults of scenarios read their delay in one place

Change: `MachineFailures` (failures, quarantine, excluded jobs) out of `AgentState`; one `delay` for the four faults that delay messages; the test of `cache_differs` in a file of its own.

--- a/crates/simulator/src/scenario/actions.rs
+++ b/crates/simulator/src/scenario/actions.rs
@@ -178,6 +178,13 @@
     }
 }
 
+/// Reads the share of the messages that are late, and by how many seconds at most; absent words
+/// get these defaults.
+fn delay(words: &Words<'_>, default_share: f64, default_late_s: f64) -> Delay {
+    let share = words.number("share", default_share);
+    Delay::new(share, words.seconds("late", default_late_s))
+}
+
 fn inject_state_fault(
     simulation: &Arc<Simulation>,
     parts: &[&str],
@@ -207,8 +214,7 @@
             });
         }
         "delay-responses" => {
-            let late = words.seconds("late", 0.5);
-            simulation.set_response_delay(Delay::new(words.number("share", 0.2), late));
+            simulation.set_response_delay(delay(words, 0.2, 0.5));
             undo_later(simulation, duration, |simulation| {
                 simulation.set_response_delay(Delay::default());
             });
@@ -220,8 +226,7 @@
             });
         }
         "delay" => {
-            let late = words.seconds("late", 5.0);
-            simulation.set_commit_delay(Delay::new(words.number("share", 0.3), late));
+            simulation.set_commit_delay(delay(words, 0.3, 5.0));
             undo_later(simulation, duration, |simulation| {
                 simulation.set_commit_delay(Delay::default());
             });
@@ -282,16 +287,13 @@
             });
         }
         ["delay", "commands", ..] => {
-            let late = words.seconds("late", 16.0);
-            let delay = Delay::new(words.number("share", 0.3), late);
-            simulation.faults.set_command_delay(delay);
+            simulation.faults.set_command_delay(delay(words, 0.3, 16.0));
             undo_later(simulation, duration, |simulation| {
                 simulation.faults.set_command_delay(Delay::default());
             });
         }
         ["duplicate", "heartbeats", ..] => {
-            let late = words.seconds("late", 30.0);
-            simulation.set_duplicates(Delay::new(words.number("share", 0.3), late));
+            simulation.set_duplicates(delay(words, 0.3, 30.0));
             let for_next = words.has("for_next");
             simulation.faults.set_keep_for_next_leader(for_next);
             undo_later(simulation, duration, |simulation| {
--- a/src/coordination/agent_state.rs
+++ b/src/coordination/agent_state.rs
@@ -5,21 +5,22 @@
 //! of the agent to it. It drops the state when the machine moves to another owner.
 
 mod image_cache;
+mod machine_failures;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
 use image_cache::ImageCache;
+pub use machine_failures::{FAILURE_WINDOW, MachineFailures};
 use tokio::time::Instant;
 
 use crate::{
     coordination::clients::{Command, Heartbeat, TaskState, TaskStatus},
     storage::{
-        AgentEpoch, Attempt, FencingToken, ImageName, JobId, Resources, TaskId,
-        state_cache::MachineLoad,
+        AgentEpoch, Attempt, FencingToken, ImageName, Resources, TaskId, state_cache::MachineLoad,
     },
 };
 
@@ -43,15 +44,6 @@
     Direct,
 }
 
-/// A machine is quarantined once tasks of this many different jobs have failed on it.
-const QUARANTINE_AFTER_JOBS: usize = 2;
-/// Maximum number of failures remembered for one machine.
-const MAX_FAILURES: usize = 16;
-/// Maximum number of jobs excluded from one machine at a time.
-const MAX_EXCLUDED_JOBS: usize = 256;
-/// How long a failure counts against a machine or a job.
-pub const FAILURE_WINDOW: Duration = Duration::from_secs(180);
-
 /// Direct starts that got no response. The agent may still execute them until it has seen a
 /// higher fencing token.
 #[derive(Clone, Copy, Debug)]
@@ -70,13 +62,6 @@
     since: Instant,
 }
 
-/// The failure of a task on the machine.
-#[derive(Clone, Debug)]
-struct TaskFailure {
-    job: JobId,
-    at: Instant,
-}
-
 /// What an owner knows about one agent.
 #[derive(Debug)]
 pub struct AgentState {
@@ -115,10 +100,8 @@
     unconfirmed_starts: BTreeSet<TaskId>,
     /// Images that the machine is expected to have in its cache.
     images: ImageCache,
-    /// Failures of tasks on this machine, the oldest first.
-    failures: VecDeque<TaskFailure>,
-    /// Jobs whose tasks are not to be placed on this machine, and until when.
-    excluded_jobs: BTreeMap<JobId, Instant>,
+    /// Failures of tasks on this machine, and the jobs excluded from it.
+    pub failures: MachineFailures,
     /// When the last direct stop of each listed task was sent.
     pub stops_sent: BTreeMap<TaskId, Instant>,
     /// Speed of the machine, learned from run times; at 1 tasks take the expected time.
@@ -161,8 +144,7 @@
             unconfirmed_token: None,
             renewal_expected_until: None,
             lease_lost_at: None,
-            failures: VecDeque::new(),
-            excluded_jobs: BTreeMap::new(),
+            failures: MachineFailures::default(),
             stops_sent: BTreeMap::new(),
             speed: 1.0,
         }
@@ -351,47 +333,6 @@
         self.images.names()
     }
 
-    /// Notes that a task of the job has failed on this machine.
-    pub fn note_failure(&mut self, job: &JobId, now: Instant) {
-        let job = job.clone();
-        self.failures.push_back(TaskFailure { job, at: now });
-        if self.failures.len() > MAX_FAILURES {
-            self.failures.pop_front();
-        }
-    }
-
-    /// Whether tasks of so many jobs have failed on this machine that it is probably faulty.
-    /// Crash-looping jobs do not count, since they fail on every machine.
-    pub fn is_quarantined(&self, now: Instant, is_crash_looping: impl Fn(&JobId) -> bool) -> bool {
-        let mut jobs: Vec<&JobId> = self
-            .failures
-            .iter()
-            .filter(|failure| now.duration_since(failure.at) < FAILURE_WINDOW)
-            .map(|failure| &failure.job)
-            .filter(|job| !is_crash_looping(job))
-            .collect();
-        jobs.sort();
-        jobs.dedup();
-        jobs.len() >= QUARANTINE_AFTER_JOBS
-    }
-
-    /// Excludes the job from this machine until a given time.
-    pub fn exclude_job(&mut self, job: &JobId, until: Instant, now: Instant) {
-        if self.excluded_jobs.len() >= MAX_EXCLUDED_JOBS {
-            self.excluded_jobs.retain(|_, until| *until > now);
-        }
-        if self.excluded_jobs.len() < MAX_EXCLUDED_JOBS {
-            self.excluded_jobs.insert(job.clone(), until);
-        }
-    }
-
-    /// Whether the job is excluded from this machine now.
-    pub fn excludes_job(&self, job: &JobId, now: Instant) -> bool {
-        self.excluded_jobs
-            .get(job)
-            .is_some_and(|until| *until > now)
-    }
-
     /// Time since the last heartbeat or, before the first one, since this owner acquired the
     /// machine.
     pub fn time_since_heartbeat(&self, now: Instant) -> Duration {
--- a/src/coordination/agent_state/tests.rs
+++ b/src/coordination/agent_state/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `coordination::agent_state`.
 
 use super::*;
-use crate::storage::{MachineId, TypeName, ZoneName};
+use crate::storage::{JobId, MachineId, TypeName, ZoneName};
 
 const INTERVAL: Duration = Duration::from_secs(5);
 
@@ -122,14 +122,22 @@
 async fn failures_of_several_jobs_quarantine_a_machine() {
     let now = Instant::now();
     let mut agent = AgentState::new(FencingToken(5), now);
-    agent.note_failure(&JobId::new("job-1"), now);
-    agent.note_failure(&JobId::new("job-1"), now);
-    assert!(!agent.is_quarantined(now, |_| false));
-    agent.note_failure(&JobId::new("job-2"), now);
-    assert!(agent.is_quarantined(now, |_| false));
+    agent.failures.note(&JobId::new("job-1"), now);
+    agent.failures.note(&JobId::new("job-1"), now);
+    assert!(!agent.failures.requires_quarantine(now, |_| false));
+    agent.failures.note(&JobId::new("job-2"), now);
+    assert!(agent.failures.requires_quarantine(now, |_| false));
     let broken = JobId::new("job-2");
-    assert!(!agent.is_quarantined(now, |job| *job == broken));
-    assert!(!agent.is_quarantined(now + FAILURE_WINDOW * 2, |_| false));
+    assert!(
+        !agent
+            .failures
+            .requires_quarantine(now, |job| *job == broken)
+    );
+    assert!(
+        !agent
+            .failures
+            .requires_quarantine(now + FAILURE_WINDOW * 2, |_| false)
+    );
 }
 
 #[test]
--- a/src/coordination/owner/mod.rs
+++ b/src/coordination/owner/mod.rs
@@ -109,7 +109,9 @@
 
     /// Whether the machine itself is probably the cause of the task failures on it.
     fn is_quarantined(&self, agent: &AgentState, now: Instant) -> bool {
-        agent.is_quarantined(now, |job| self.failing.is_crash_looping(job))
+        agent
+            .failures
+            .requires_quarantine(now, |job| self.failing.is_crash_looping(job))
     }
 }
 
--- a/src/coordination/owner/placement.rs
+++ b/src/coordination/owner/placement.rs
@@ -354,5 +354,5 @@
 ) -> bool {
     agents
         .get(&candidate.machine)
-        .is_some_and(|agent| !agent.excludes_job(job, now))
+        .is_some_and(|agent| !agent.failures.excludes_job(job, now))
 }
--- a/src/coordination/owner/results.rs
+++ b/src/coordination/owner/results.rs
@@ -260,14 +260,20 @@
         tracing::debug!(%task, %machine, ?exit, "task ended");
         match exit {
             Exit::Failed => {
-                agent.note_failure(&task.job, now);
+                agent.failures.note(&task.job, now);
                 if !state.failing.is_crash_looping(&task.job) {
-                    agent.exclude_job(&task.job, now + FAILURE_EXCLUSION, now);
+                    agent
+                        .failures
+                        .exclude_job(&task.job, now + FAILURE_EXCLUSION, now);
                 }
                 state.failing.record_failure(&task.job, machine, now);
             }
             // The machine has something on it that is missing in this owner's view.
-            Exit::NoRoom | Exit::Busy => agent.exclude_job(&task.job, now + REFUSAL_EXCLUSION, now),
+            Exit::NoRoom | Exit::Busy => {
+                agent
+                    .failures
+                    .exclude_job(&task.job, now + REFUSAL_EXCLUSION, now);
+            }
             // The user has not uploaded the job's description yet, or never will.
             Exit::Unknown => state.failing.record_failure(&task.job, machine, now),
             Exit::Stopped | Exit::Other | Exit::Done => {}
--- a/tests/checkers.rs
+++ b/tests/checkers.rs
@@ -219,21 +219,6 @@
     assert_violates("reused", vec![submitted(), (2, attempt_reused)]);
 }
 
-#[test]
-fn cache_differs() {
-    let differs = || Event::CacheDiffers {
-        controller: "n0".into(),
-        key: "rent/r-1".into(),
-    };
-    let violations = check_events(vec![(1, differs()), (4, differs())]);
-    assert_eq!(
-        violations.len(),
-        1,
-        "a key is reported once: {violations:?}"
-    );
-    assert_violates("cache_differs", vec![(1, differs())]);
-}
-
 #[test]
 fn unreadable_and_wrong_status() {
     assert_violates(
