Review: a repeated commit stops the renting of machines (case 7)

Cause: the record of a rental request is conditional on its own absence, which holds again once the request is finished. A repeat of the commit brings it back; its machine counts as on its way for ever. Nothing is fixed.

--- a/review/standins-2/standins2.py
+++ b/review/standins-2/standins2.py
@@ -631,6 +631,7 @@
         self.last = 0
         self.bucket = Bucket(rps, 2.0)
         self.down = False
+        self.repeats = 0  # rental requests under a name that was answered before
         self.views = []
 
     async def gateway(self):
@@ -675,6 +676,7 @@
             return 200, {}
         if path == "/machines":
             if request["hire"] in self.answers:
+                self.repeats += 1
                 return 200, self.answers[request["hire"]]
             pool = (request["breed"], request["paddock"], request["loaners"])
             count = min(request["number"], 50, self.capacity.get(pool, 0))
@@ -1049,6 +1051,15 @@
     async def main():
         site = site_class(folder)
         site.record(f"trouble: {'yes' if trouble else 'no'}")
+
+        def ended():
+            for node in site.nodes.values():
+                node.kill()
+            site.temp.cleanup()
+            os._exit(2)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, ended)
         code = 2
         try:
             broken, text = await asyncio.wait_for(scenario(site, trouble), limit - now())
