Simulator: copies of requests that were carried out arrive once more, late

The simulator delayed requests and copied heartbeats, but never delivered a request that had been carried out a second time.

A copy of a transaction that changes a key again is a violation. Without the action nothing is drawn, so that all other plays stay the same.

--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -10,7 +10,7 @@
 
 use stallcove::storage::{JobId, JobSpec, jitter};
 
-use crate::{simulation::Simulation, users};
+use crate::{request_copies::RequestCopies, simulation::Simulation, users};
 
 /// A fault that delays a share of the messages.
 #[derive(Clone, Copy, Debug, Default)]
@@ -82,6 +82,8 @@
     kept_duplicates: Mutex<Vec<DuplicateHeartbeat>>,
     last_leader: Mutex<Option<String>>,
     burst_polls: Mutex<bool>,
+    /// Late copies of requests that were carried out.
+    pub request_copies: RequestCopies,
 }
 
 impl FaultInjection {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gangs;
 mod logging;
 pub mod loopback;
+pub mod request_copies;
 pub mod rules;
 pub mod scenario;
 pub mod simulation;
--- a/crates/simulator/src/scenario/actions.rs
+++ b/crates/simulator/src/scenario/actions.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     faults::{BootFaults, Delay, Stream},
+    request_copies::Link,
     simulation::{Partition, Simulation},
     users,
     versions::Version,
@@ -44,7 +45,7 @@
         }
         "state" => inject_state_fault(simulation, parts, &words, duration),
         "cloud" => inject_cloud_fault(simulation, parts, &words, duration),
-        "partition" | "delay" | "duplicate" => {
+        "partition" | "delay" | "duplicate" | "copy" => {
             inject_network_fault(simulation, parts, &words, duration);
         }
         "hang" | "lose-inbound" | "lose-outbound" | "reclaim" => {
@@ -301,10 +302,39 @@
                 simulation.faults.set_keep_for_next_leader(false);
             });
         }
+        ["copy", "requests", ..] => copy_requests(simulation, words, duration),
         other => panic!("unknown action {other:?}"),
     }
 }
 
+/// Delivers a share of the requests that were carried out once more, on the links that `to=` names
+/// or on all of them.
+fn copy_requests(simulation: &Arc<Simulation>, words: &Words<'_>, duration: Duration) {
+    let links = match words.names("to") {
+        Some(names) => names.into_iter().map(link).collect(),
+        None => Link::ALL.to_vec(),
+    };
+    let delay = delay(words, 0.3, 30.0);
+    for link in links {
+        simulation.faults.request_copies.set(link, delay);
+        undo_later(simulation, duration, move |simulation| {
+            let copies = &simulation.faults.request_copies;
+            copies.set(link, Delay::default());
+        });
+    }
+}
+
+fn link(name: &str) -> Link {
+    match name {
+        "state" => Link::State,
+        "cloud" => Link::Cloud,
+        "agents" => Link::Agents,
+        "controllers" => Link::Controllers,
+        "users" => Link::Users,
+        other => panic!("unknown link {other}"),
+    }
+}
+
 fn inject_machine_fault(
     simulation: &Arc<Simulation>,
     parts: &[&str],
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -332,6 +332,7 @@
     pub fn violations(&self) -> Vec<String> {
         let mut broken = self.rules.lock().expect("rules lock").violations.clone();
         broken.extend(self.state.oversized_transactions());
+        broken.extend(self.state.repeated_transactions());
         broken
     }
 
--- a/crates/simulator/src/simulation/controllers.rs
+++ b/crates/simulator/src/simulation/controllers.rs
@@ -80,6 +80,13 @@
         Some((running.router.clone(), running.incarnation))
     }
 
+    /// Returns the controller's running process, if there is one.
+    pub(super) fn running_controller(&self, name: &str) -> Option<Arc<Controller>> {
+        let controllers = self.controllers.lock().expect("controllers lock");
+        let running = controllers.get(name)?.running.as_ref()?;
+        Some(running.controller.clone())
+    }
+
     /// Whether this incarnation of the controller is still running.
     pub(super) fn is_alive(&self, name: &str, incarnation: u64) -> bool {
         self.router(name).is_some_and(|(_, now)| now == incarnation)
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -14,7 +14,7 @@
 };
 
 use super::Simulation;
-use crate::rules::Event;
+use crate::{request_copies::Link, rules::Event};
 
 /// Interval at which a held request checks whether its partition has healed.
 const HELD_REQUEST_INTERVAL: Duration = Duration::from_millis(100);
@@ -33,6 +33,14 @@
     }
 }
 
+fn method_name(method: Method) -> &'static str {
+    match method {
+        Method::Get => "GET",
+        Method::Post => "POST",
+        Method::Delete => "DELETE",
+    }
+}
+
 /// Simulated network of one controller's process.
 pub struct SimNet {
     simulation: Arc<Simulation>,
@@ -61,11 +69,7 @@
         controller: &str,
         request: &HttpRequest,
     ) -> (u16, Value) {
-        let method = match request.method {
-            Method::Get => "GET",
-            Method::Post => "POST",
-            Method::Delete => "DELETE",
-        };
+        let method = method_name(request.method);
         simulation.trace(|| {
             let body = String::from_utf8_lossy(&request.body);
             format!(
@@ -126,6 +130,9 @@
             let (from, to) = (&request.address, &self.controller);
             format!("{from} -> {to}: {status} {value}")
         });
+        if (200..300).contains(&status) {
+            self.copy_later(&request);
+        }
         tokio::time::sleep(jitter::millis(1, 5)).await;
         if request.address == "state"
             && let Some(delay) = self.simulation.draw_response_delay()
@@ -185,6 +192,66 @@
         });
     }
 
+    /// Draws whether a copy of a request that was carried out arrives later. It arrives even if
+    /// this process has ended by then; a partition holds it back.
+    fn copy_later(&self, request: &HttpRequest) {
+        if request.method == Method::Get {
+            return;
+        }
+        let link = Link::of_address(&request.address);
+        let Some(delay) = self.simulation.faults.request_copies.draw(link) else {
+            return;
+        };
+        let copy = request.clone();
+        let (simulation, controller) = (self.simulation.clone(), self.controller.clone());
+        let from_tags = simulation.controller_tags(&controller);
+        let to_tags = self.tags(&copy.address);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            while simulation.partition_between(&from_tags, &to_tags).is_some() {
+                tokio::time::sleep(HELD_REQUEST_INTERVAL).await;
+            }
+            simulation.trace(|| format!("a copy arrives at {}", copy.address));
+            if link == Link::State {
+                let (path, body) = (&copy.path, &copy.body);
+                simulation
+                    .state
+                    .handle_copy(&controller, method_name(copy.method), path, body)
+                    .await;
+            } else {
+                Self::execute(&simulation, &controller, &copy).await;
+            }
+        });
+    }
+
+    /// Like [`Self::copy_later`], for a frame. The copy is handled by the process that then runs at
+    /// the address, if there is one that can read it.
+    fn copy_frame_later(&self, address: &str, frame: &[u8], needed: ProtocolVersion) {
+        let copies = &self.simulation.faults.request_copies;
+        let Some(delay) = copies.draw(Link::Controllers) else {
+            return;
+        };
+        let simulation = self.simulation.clone();
+        let (address, frame) = (address.to_owned(), frame.to_vec());
+        let from_tags = simulation.controller_tags(&self.controller);
+        let to_tags = simulation.controller_tags(&address);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            while simulation.partition_between(&from_tags, &to_tags).is_some() {
+                tokio::time::sleep(HELD_REQUEST_INTERVAL).await;
+            }
+            simulation.wait_until_resumed(&address).await;
+            let Some(controller) = simulation.running_controller(&address) else {
+                return;
+            };
+            if simulation.protocol_version_of(&address) < needed {
+                return;
+            }
+            simulation.trace(|| format!("a copy of a frame arrives at {address}"));
+            peer_connections::handle_frame(&controller, &frame).await;
+        });
+    }
+
     /// Delivers a request once the partition has healed, even if its sender has timed out by then.
     fn execute_once_healed(
         &self,
@@ -245,18 +312,7 @@
                 {
                     return futures::future::pending().await;
                 }
-                let controller = {
-                    let controllers = self
-                        .simulation
-                        .controllers
-                        .lock()
-                        .expect("controllers lock");
-                    controllers
-                        .get(address)
-                        .and_then(|slot| slot.running.as_ref())
-                        .map(|running| running.controller.clone())
-                };
-                let Some(controller) = controller else {
+                let Some(controller) = self.simulation.running_controller(address) else {
                     return Err(SendError::NotSent("refused".into()));
                 };
                 let request =
@@ -272,6 +328,7 @@
                     return Err(SendError::NoResponse("closed".into()));
                 }
                 let answer = peer_connections::handle_frame(&controller, &frame).await;
+                self.copy_frame_later(address, &frame, needed);
                 tokio::time::sleep(jitter::millis(1, 3)).await;
                 answer.ok_or_else(|| SendError::NoResponse("closed".into()))
             };
--- a/crates/simulator/src/state_service/database.rs
+++ b/crates/simulator/src/state_service/database.rs
@@ -66,6 +66,8 @@
     pub(super) size_limits: Option<SizeLimits>,
     /// Descriptions of the transactions that exceeded the size limits.
     pub(super) oversized_transactions: Vec<String>,
+    /// Descriptions of the copies of transactions that took effect.
+    pub(super) repeated_transactions: Vec<String>,
     /// Number of requested changes, including those of failed transactions.
     pub(super) requested_changes: usize,
     /// Number of changes made by transactions, by the kind of record: `+` written, `-` removed.
@@ -193,6 +195,22 @@
         (200, json!({"ledger": self.revision}))
     }
 
+    /// Returns the keys whose values a transaction would change, in words; `None` if all of them
+    /// have the values already.
+    pub(super) fn effect_of(&self, body: &[u8]) -> Option<String> {
+        let transaction: TransactionRequest = serde_json::from_slice(body).ok()?;
+        let changed = transaction.operations.iter().filter_map(|operation| {
+            let (key, value) = match operation {
+                OperationMessage::Put { key, value, .. } => (key, Some(value)),
+                OperationMessage::Delete { key } => (key, None),
+            };
+            let current = self.entries.get(key).map(|entry| &entry.value);
+            (current != value).then_some(key.as_str())
+        });
+        let changed: Vec<&str> = changed.collect();
+        (!changed.is_empty()).then(|| changed.join(" "))
+    }
+
     /// Returns which size limit a transaction exceeds, if any.
     fn find_exceeded_limit(&self, transaction: &TransactionRequest) -> Option<String> {
         let limits = self.size_limits.unwrap_or_default();
--- a/crates/simulator/src/state_service/mod.rs
+++ b/crates/simulator/src/state_service/mod.rs
@@ -130,6 +130,12 @@
         });
     }
 
+    /// Returns descriptions of the copies of transactions that took effect although the transaction
+    /// had been carried out before.
+    pub fn repeated_transactions(&self) -> Vec<String> {
+        self.lock().repeated_transactions.clone()
+    }
+
     /// Returns the number of requested changes, including those of failed transactions.
     pub fn requested_changes(&self) -> usize {
         self.lock().requested_changes
@@ -198,6 +204,25 @@
         reply
     }
 
+    /// Answers a copy of a controller's request that was carried out before. Records it if the copy
+    /// of a transaction takes effect: a controller must make every transaction conditional on
+    /// something that carrying it out changes for good.
+    pub async fn handle_copy(&self, from: &str, method: &str, path: &str, body: &[u8]) -> Reply {
+        let effect = match path {
+            "/commit" => self.lock().effect_of(body),
+            _ => None,
+        };
+        let reply = self.handle(from, method, path, body).await;
+        if reply.0 == 200
+            && let Some(effect) = effect
+        {
+            let mut database = self.lock();
+            let repeated = format!("transaction carried out twice: {effect}");
+            database.repeated_transactions.push(repeated);
+        }
+        reply
+    }
+
     async fn follow(&self, controller: &str, path: &str) -> Reply {
         let from: u64 = query_parameter(path, "from")
             .and_then(|number| number.parse().ok())
