An attempt is cleared only once a copy of its start would be rejected

Cause: an agent does not remember a cleared attempt, so that a start runs it again. The owner cleared as soon as no start was unanswered. A start that had been answered counted as settled, although a late copy of it carries a token and an epoch that the agent still accepts.

Change: an owner notes its direct starts with token and epoch, and clears an attempt only when its agent has reported a higher token or a later epoch. It raises the token for the clears that it holds back: after 0.5 s for a task that has to run once more, otherwise after 30 s or at 128 clears. A state that is created anew for a machine keeps the starts that were sent.

Why this works: an agent executes nothing under a lower token than the highest it has seen, however late it comes. Later owners clear only under a token of their own lease.

--- a/src/coordination/agent_state.rs
+++ b/src/coordination/agent_state.rs
@@ -6,6 +6,7 @@
 
 mod image_cache;
 mod machine_failures;
+mod repeatable_starts;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -15,6 +16,8 @@
 
 use image_cache::ImageCache;
 pub use machine_failures::{FAILURE_WINDOW, MachineFailures};
+pub use repeatable_starts::HeldClears;
+use repeatable_starts::RepeatableStarts;
 use tokio::time::Instant;
 
 use crate::{
@@ -95,6 +98,10 @@
     pub in_doubt_start: Option<InDoubtStart>,
     /// Number of direct starts that wait for their response.
     starts_in_flight: u32,
+    /// Direct starts of which a copy would be executed once their tasks are cleared.
+    repeatable_starts: RepeatableStarts,
+    /// Clears that these starts hold back.
+    pub held_clears: Option<HeldClears>,
     /// Tasks whose starts were sent in the response to the newest heartbeat. Only the next
     /// heartbeat shows whether they were executed.
     unconfirmed_starts: BTreeSet<TaskId>,
@@ -139,6 +146,8 @@
             newest_is_heartbeat: false,
             in_doubt_start: None,
             starts_in_flight: 0,
+            repeatable_starts: RepeatableStarts::default(),
+            held_clears: None,
             unconfirmed_starts: BTreeSet::new(),
             images: ImageCache::default(),
             unconfirmed_token: None,
@@ -150,6 +159,18 @@
         }
     }
 
+    /// Creates the state of the same agent after its machine was acquired anew, or after the cache
+    /// was replaced and shows another acquisition. Direct starts that this process sent before may
+    /// still be executed, unless the agent has seen a higher token since.
+    pub fn reacquired(&self, acquisition_token: FencingToken, now: Instant) -> Self {
+        Self {
+            in_doubt_start: self.in_doubt_start,
+            starts_in_flight: self.starts_in_flight,
+            repeatable_starts: self.repeatable_starts.clone(),
+            ..Self::new(acquisition_token, now)
+        }
+    }
+
     /// Applies a message, unless a newer one was applied before; returns whether it was
     /// applied. Messages can be minutes late; the one with the larger (epoch, sequence) is
     /// the newer one.
@@ -163,6 +184,8 @@
         self.epoch = heartbeat.epoch;
         self.sequence = heartbeat.sequence;
         self.confirm_token(heartbeat.token);
+        self.repeatable_starts
+            .remove_rejected(self.token, self.epoch);
         if self.address.as_ref() != Some(&heartbeat.address) {
             self.address = Some(heartbeat.address.clone());
         }
@@ -298,9 +321,48 @@
                 .is_some_and(|at| now.duration_since(at) < LEASE_LOSS_WINDOW)
     }
 
-    /// Notes that a direct start is sent.
-    pub fn note_start_sent(&mut self) {
+    /// Notes that direct starts are sent in one request, under this token and for this epoch.
+    pub fn note_starts_sent(
+        &mut self,
+        commands: &[Command],
+        token: FencingToken,
+        epoch: AgentEpoch,
+    ) {
         self.starts_in_flight += 1;
+        for command in commands {
+            if let Command::Start { task, attempt } = command {
+                let starts = &mut self.repeatable_starts;
+                starts.note(task.clone(), *attempt, token, epoch);
+            }
+        }
+    }
+
+    /// Whether an attempt may be cleared: no start of it can be executed any more, neither one
+    /// that is still in flight nor a copy of one that was carried out.
+    pub fn may_clear(&self, task: &TaskId, attempt: Attempt) -> bool {
+        self.all_starts_resolved() && self.repeatable_starts.token_of(task, attempt).is_none()
+    }
+
+    /// Notes which of the attempts that have ended cannot be cleared because a copy of their start
+    /// could be executed. `ended` names each with whether its task has to run once more.
+    pub fn note_held_clears<'a>(
+        &mut self,
+        ended: impl Iterator<Item = (&'a TaskId, Attempt, bool)>,
+        now: Instant,
+    ) {
+        let before = self.held_clears;
+        let mut held: Option<HeldClears> = None;
+        for (task, attempt, is_retried) in ended {
+            if let Some(token) = self.repeatable_starts.token_of(task, attempt) {
+                held = Some(HeldClears::add(held, token, is_retried, now));
+            }
+        }
+        if let (Some(held), Some(before)) = (&mut held, before)
+            && held.token == before.token
+        {
+            held.since = before.since;
+        }
+        self.held_clears = held;
     }
 
     /// Notes that the request of a direct start has ended, with or without a response.
--- a/src/coordination/agent_state/tests.rs
+++ b/src/coordination/agent_state/tests.rs
@@ -55,7 +55,7 @@
     );
     agent.apply(&heartbeat(1, 3, 5), MessageSource::Heartbeat, now);
     assert!(agent.is_absence_conclusive(&task));
-    agent.note_start_sent();
+    agent.note_starts_sent(&[], FencingToken(5), AgentEpoch(1));
     assert!(
         !agent.is_absence_conclusive(&task),
         "a direct start is in flight"
@@ -156,3 +156,83 @@
             );
         });
 }
+
+fn start(attempt: u64) -> Command {
+    Command::Start {
+        task: TaskId::parse("job-1/0").expect("valid task id"),
+        attempt: Attempt(attempt),
+    }
+}
+
+/// Guards against a late copy of a start that was carried out: the agent had cleared the attempt
+/// under the same fencing token, and ran it again beside the next attempt.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_is_not_cleared_while_a_copy_of_its_start_would_be_executed() {
+    let now = Instant::now();
+    let task = TaskId::parse("job-1/0").expect("valid task id");
+    let mut agent = AgentState::new(FencingToken(5), now);
+    agent.apply(&heartbeat(1, 1, 5), MessageSource::Heartbeat, now);
+    agent.note_starts_sent(&[start(1)], FencingToken(5), AgentEpoch(1));
+    agent.note_start_request_ended();
+    agent.apply(&heartbeat(1, 2, 5), MessageSource::Heartbeat, now);
+    assert!(!agent.may_clear(&task, Attempt(1)));
+    assert!(agent.may_clear(&task, Attempt(2)), "was not sent directly");
+    agent.apply(&heartbeat(1, 3, 6), MessageSource::Heartbeat, now);
+    assert!(agent.may_clear(&task, Attempt(1)));
+    agent.note_starts_sent(&[start(2)], FencingToken(6), AgentEpoch(1));
+    agent.note_start_request_ended();
+    assert!(!agent.may_clear(&task, Attempt(2)));
+    agent.apply(&heartbeat(2, 1, 6), MessageSource::Heartbeat, now);
+    assert!(
+        agent.may_clear(&task, Attempt(2)),
+        "the agent rejects commands for an earlier epoch"
+    );
+}
+
+/// Guards against clears, and conclusions from absence, by a state that was created anew while the
+/// process kept its shard, for example after a full read of the records.
+#[tokio::test(start_paused = true)]
+async fn a_reacquired_machine_keeps_the_starts_that_may_be_executed() {
+    let now = Instant::now();
+    let task = TaskId::parse("job-1/0").expect("valid task id");
+    let mut agent = AgentState::new(FencingToken(5), now);
+    agent.apply(&heartbeat(1, 1, 5), MessageSource::Heartbeat, now);
+    agent.note_starts_sent(&[start(1)], FencingToken(7), AgentEpoch(1));
+    let mut reacquired = agent.reacquired(FencingToken(7), now);
+    reacquired.apply(&heartbeat(1, 2, 7), MessageSource::Heartbeat, now);
+    assert!(!reacquired.is_absence_conclusive(&task));
+    reacquired.note_start_request_ended();
+    assert!(reacquired.is_absence_conclusive(&task));
+    assert!(!reacquired.may_clear(&task, Attempt(1)));
+    reacquired.apply(&heartbeat(1, 3, 8), MessageSource::Heartbeat, now);
+    assert!(reacquired.may_clear(&task, Attempt(1)));
+}
+
+/// Guards against clears that are held back without end, and against a change of the state service
+/// for each of them.
+#[tokio::test(start_paused = true)]
+async fn held_clears_are_due_early_for_tasks_that_have_to_run_once_more() {
+    let now = Instant::now();
+    let task = TaskId::parse("job-1/0").expect("valid task id");
+    let mut agent = AgentState::new(FencingToken(5), now);
+    agent.apply(&heartbeat(1, 1, 5), MessageSource::Heartbeat, now);
+    agent.note_starts_sent(&[start(1)], FencingToken(5), AgentEpoch(1));
+    let held_for = |agent: &mut AgentState, is_retried: bool, at: Instant| {
+        agent.note_held_clears([(&task, Attempt(1), is_retried)].into_iter(), at);
+        agent
+            .held_clears
+            .expect("the clear is held back")
+            .is_due(at)
+    };
+    let second = Duration::from_secs(1);
+    assert!(!held_for(&mut agent, false, now));
+    assert!(!held_for(&mut agent, false, now + second));
+    assert!(held_for(&mut agent, true, now + second));
+    assert!(held_for(&mut agent, false, now + second * 60));
+    let ended = std::iter::repeat_n((&task, Attempt(1), false), 200);
+    agent.note_held_clears(ended, now);
+    assert!(agent.held_clears.is_some_and(|held| held.is_due(now)));
+    agent.apply(&heartbeat(1, 2, 6), MessageSource::Heartbeat, now);
+    agent.note_held_clears([(&task, Attempt(1), true)].into_iter(), now);
+    assert_eq!(agent.held_clears, None);
+}
--- a/src/coordination/owner/commands.rs
+++ b/src/coordination/owner/commands.rs
@@ -91,14 +91,16 @@
         let mut state = lock(&self.state);
         let agent = state.agents.get_mut(&machine)?;
         let address = agent.address.clone()?;
+        let token = FencingToken::from(shard.revision);
+        let epoch = start_epoch.unwrap_or(agent.epoch);
         let has_starts = start_epoch.is_some();
         if has_starts {
-            agent.note_start_sent();
+            agent.note_starts_sent(&commands, token, epoch);
         }
         Some(AddressedCommands {
             address,
-            token: FencingToken::from(shard.revision),
-            epoch: start_epoch.unwrap_or(agent.epoch),
+            token,
+            epoch,
             commands,
             has_starts,
             machine,
--- a/src/coordination/owner/heartbeats.rs
+++ b/src/coordination/owner/heartbeats.rs
@@ -9,7 +9,7 @@
 use crate::{
     coordination::{
         agent_state::{AgentState, MessageSource, ObservedTask},
-        clients::{Command, Heartbeat, HeartbeatResponse, TaskState},
+        clients::{Command, Exit, Heartbeat, HeartbeatResponse, TaskState},
         context::lock,
     },
     storage::{Attempt, FencingToken, MachineId, StateCache, TaskId, state_cache::PlacedTask},
@@ -32,12 +32,10 @@
         let mut state = lock(&self.state);
         let acquisition_token = FencingToken::from(cache.owned_since(&heartbeat.machine));
         // The machine was lost and acquired anew before the owner's loop noticed.
-        if state
-            .agents
-            .get(&heartbeat.machine)
-            .is_some_and(|agent| agent.acquisition_token != acquisition_token)
+        if let Some(agent) = state.agents.get_mut(&heartbeat.machine)
+            && agent.acquisition_token != acquisition_token
         {
-            state.agents.remove(&heartbeat.machine);
+            *agent = agent.reacquired(acquisition_token, now);
         }
         let OwnerState {
             agents, preempting, ..
@@ -58,6 +56,7 @@
             preempting.get(task) == Some(&attempt)
         });
         commands.truncate(MAX_COMMANDS);
+        agent.note_held_clears(ended_attempts(heartbeat, cache), now);
         agent.note_starts_in_response(&commands);
         agent.note_response(token, self.context.config.max_heartbeat_interval(), now);
         if self.note_results(&mut state, cache, &heartbeat.machine, now) {
@@ -123,10 +122,10 @@
                 grace,
             })
         }
-        // An agent does not remember a cleared task, so that a start that is still in flight
-        // would run it again.
+        // An agent does not remember a cleared task, so that a start that is still in flight, or a
+        // late copy of one, would run it again.
         (false, true) => agent
-            .all_starts_resolved()
+            .may_clear(&task, attempt)
             .then_some(Command::Clear { task, attempt }),
         // This attempt has no placement. The cache cannot have missed one: it holds this
         // owner's shard record and therefore all that earlier owners committed.
@@ -138,6 +137,33 @@
     }
 }
 
+/// Returns the attempts that the agent lists as ended, each with whether its task has to run once
+/// more: until the attempt is cleared, the task cannot be placed on this machine.
+fn ended_attempts<'a>(
+    heartbeat: &'a Heartbeat,
+    cache: &'a StateCache,
+) -> impl Iterator<Item = (&'a TaskId, Attempt, bool)> {
+    heartbeat.tasks.iter().filter_map(|status| {
+        let TaskState::Exited(exit) = status.state else {
+            return None;
+        };
+        let is_retried = exit != Exit::Done && is_wanted(cache, &status.task, status.attempt);
+        Some((&status.task, status.attempt, is_retried))
+    })
+}
+
+/// Whether a task of which this attempt has ended is to run, and runs nowhere else.
+fn is_wanted(cache: &StateCache, task: &TaskId, attempt: Attempt) -> bool {
+    let Some(job) = cache.jobs.get(&task.job) else {
+        return false;
+    };
+    let placement = job.placement(task.index);
+    job.spec.is_some()
+        && job.cleanup_since.is_none()
+        && !job.is_task_done(task.index)
+        && placement.is_none_or(|placement| placement.attempt == attempt)
+}
+
 /// Returns the start of a placed task, if it is to run and the agent does not list it.
 fn start_for_placed(
     agent: &AgentState,
--- a/src/coordination/owner/in_doubt.rs
+++ b/src/coordination/owner/in_doubt.rs
@@ -1,13 +1,14 @@
-//! Resolves starts and commits whose result is unknown by rewriting the record on whose
-//! revision they depend: a request that is still in flight then has no effect.
+//! Voids requests that may still be executed by rewriting the record on whose revision they
+//! depend: starts and commits whose result is unknown, and late copies of starts.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use serde::Serialize;
+use tokio::time::Instant;
 
 use super::ShardOwner;
 use crate::{
-    coordination::{agent_state::InDoubtStart, context::lock},
+    coordination::{agent_state::AgentState, context::lock},
     storage::{
         CommitError, FencingToken, Revision, ShardId, StateCache, Transaction, keys,
         rate_limiter::RequestPriority,
@@ -23,6 +24,21 @@
 /// Pause after the allocation could not be rewritten and the state service could not be read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Returns the fencing token above which the agent's must be raised now, if it must be: a start
+/// has been in doubt for longer than [`IN_DOUBT_TIMEOUT`] on a machine whose heartbeats arrive
+/// again, or copies of starts hold back clears that are due.
+fn token_to_exceed(agent: &AgentState, now: Instant) -> Option<FencingToken> {
+    let in_doubt = agent.in_doubt_start.filter(|start| {
+        now.saturating_duration_since(start.since) > IN_DOUBT_TIMEOUT
+            && agent.last_heartbeat > start.since
+            && start.token >= agent.token
+    });
+    let held = agent.held_clears.filter(|held| held.is_due(now));
+    in_doubt
+        .map(|start| start.token)
+        .max(held.map(|held| held.token))
+}
+
 impl ShardOwner {
     /// Writes a record with its present content, and returns its new revision.
     async fn rewrite<T: Serialize>(
@@ -37,13 +53,13 @@
         store.commit(&transaction, RequestPriority::Fencing).await
     }
 
-    /// Rewrites the records of shards with starts in doubt. The new revision of the record is
-    /// a higher fencing token; once an agent has seen it, it no longer executes a start that
-    /// may still be in flight.
-    pub(super) async fn resolve_in_doubt_starts(&self) {
+    /// Rewrites the records of shards with starts in doubt, or with clears that copies of starts
+    /// hold back. The new revision of the record is a higher fencing token; once an agent has seen
+    /// it, it no longer executes a start that may still be in flight, or a copy of one.
+    pub(super) async fn raise_fencing_tokens(&self) {
         let shards = {
             let cache = self.context.store.cache();
-            self.shards_with_in_doubt_starts(&cache)
+            self.shards_that_need_higher_tokens(&cache)
         };
         for (id, entry) in shards.into_iter().take(MAX_SHARDS_REWRITTEN) {
             match self.rewrite(keys::shard(id), &entry).await {
@@ -58,28 +74,24 @@
         }
     }
 
-    /// Returns this owner's shards that have a start in doubt for longer than
-    /// [`IN_DOUBT_TIMEOUT`] on a machine whose heartbeats arrive again, and whose fencing token
-    /// has not been raised since.
-    fn shards_with_in_doubt_starts(
+    /// Returns this owner's shards with a machine that needs a higher fencing token than the
+    /// shard's present one.
+    fn shards_that_need_higher_tokens(
         &self,
         cache: &StateCache,
     ) -> BTreeMap<ShardId, Versioned<ShardRecord>> {
         let state = lock(&self.state);
+        let now = Instant::now();
         let mut found: BTreeMap<ShardId, Versioned<ShardRecord>> = BTreeMap::new();
         for (id, agent) in &state.agents {
-            let Some(InDoubtStart { token, since }) = agent.in_doubt_start else {
+            let Some(token) = token_to_exceed(agent, now) else {
                 continue;
             };
-            let is_due = since.elapsed() > IN_DOUBT_TIMEOUT
-                && agent.last_heartbeat > since
-                && token >= agent.token;
-            if is_due && let Some((shard, entry)) = self.context.own_shard_of(cache, id) {
-                // If the token was raised already, the agent only has to receive it.
-                let is_raised = FencingToken::from(entry.revision) > token;
-                if !is_raised {
-                    found.insert(shard, entry.clone());
-                }
+            // If the token was raised already, the agent only has to receive it.
+            if let Some((shard, entry)) = self.context.own_shard_of(cache, id)
+                && FencingToken::from(entry.revision) <= token
+            {
+                found.insert(shard, entry.clone());
             }
         }
         found
--- a/src/coordination/owner/round.rs
+++ b/src/coordination/owner/round.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Runs one round: resolves commits and starts in doubt, serves and makes quota requests,
+    /// Runs one round: resolves commits and starts in doubt and lets clears proceed, serves and makes quota requests,
     /// plans results, placements and stops on one view of the cache, and executes the plan.
     async fn run_round(self: &Arc<Self>) {
         let Some(allocation) = self.reconcile_with_cache() else {
@@ -60,7 +60,7 @@
         if has_commit_in_doubt && !self.resolve_commit_in_doubt(&allocation).await {
             return;
         }
-        self.resolve_in_doubt_starts().await;
+        self.raise_fencing_tokens().await;
         if !self.exchange_quota().await {
             return;
         }
@@ -178,15 +178,16 @@
         }
         self.context.startup.note_first_machines();
         let now = Instant::now();
-        agents.retain(|id, agent| {
-            self.context.own_shard_of(cache, id).is_some()
-                && agent.acquisition_token == FencingToken::from(cache.owned_since(id))
-        });
+        agents.retain(|id, _| self.context.own_shard_of(cache, id).is_some());
         for (_, entry) in self.context.own_shards(cache) {
             for id in entry.value.machines.keys() {
-                agents
+                let token = FencingToken::from(cache.owned_since(id));
+                let agent = agents
                     .entry(id.clone())
-                    .or_insert_with(|| AgentState::new(cache.owned_since(id).into(), now));
+                    .or_insert_with(|| AgentState::new(token, now));
+                if agent.acquisition_token != token {
+                    *agent = agent.reacquired(token, now);
+                }
             }
         }
         state.reconciled_shards = shards;
