Provision requests and adoptions are committed at most once

Cause: the transaction that records a provision request is conditional on the absence of its key and on the leader record. Both hold once more after the request is finished, so that a late copy is carried out and restores the record. The transaction that adopts unknown machines has the same form.

Change: `commit_once_as_leader` adds a rewrite of the leader's own registration on condition of its revision.

Why this works: a revision never comes back, so that the condition fails for good once the transaction was carried out, also after the process has ended, and whatever happens to the records that it created. Nothing else of the leader is conditional on the registration.

--- a/crates/simulator/src/scenario/actions.rs
+++ b/crates/simulator/src/scenario/actions.rs
@@ -194,6 +194,7 @@
 ) {
     match parts[1] {
         "lower-limits" => simulation.lower_limits(),
+        "restore" => simulation.state.restore_removed(parts[2]),
         "outage" => {
             simulation.state.set_down(true);
             undo_later(simulation, duration, |simulation| {
--- a/crates/simulator/src/state_service/database.rs
+++ b/crates/simulator/src/state_service/database.rs
@@ -9,7 +9,7 @@
 use stallcove::protocol::key_value_store::{OperationMessage, TransactionRequest};
 use tokio::time::Instant;
 
-use super::{Limits, Reply, rate_limit::RateLimit};
+use super::{Limits, Reply, rate_limit::RateLimit, repeatable::find_repeatable};
 
 /// Maximum number of conditions in a transaction, per change that the size limits allow.
 const CONDITIONS_PER_CHANGE: usize = 4;
@@ -66,7 +66,7 @@
     pub(super) size_limits: Option<SizeLimits>,
     /// Descriptions of the transactions that exceeded the size limits.
     pub(super) oversized_transactions: Vec<String>,
-    /// Descriptions of the copies of transactions that took effect.
+    /// Descriptions of the transactions that could be carried out twice, or were.
     pub(super) repeated_transactions: Vec<String>,
     /// Number of requested changes, including those of failed transactions.
     pub(super) requested_changes: usize,
@@ -186,6 +186,10 @@
         if !self.check_operations(&transaction.operations) {
             return (400, json!({"error": "no such lease"}));
         }
+        if let Some(keys) = find_repeatable(&transaction) {
+            self.repeated_transactions
+                .push(format!("transaction could be carried out twice: {keys}"));
+        }
         if !transaction.operations.is_empty() {
             self.revision += 1;
         }
@@ -287,6 +291,23 @@
         }
     }
 
+    /// Sets the removed keys with the prefix to their last values, each by a change of its own.
+    pub(super) fn restore_removed(&mut self, prefix: &str) {
+        let mut removed: BTreeMap<String, Value> = BTreeMap::new();
+        for change in &self.changes {
+            if let Some(key) = change.event["set"].as_str()
+                && key.starts_with(prefix)
+                && !self.entries.contains_key(key)
+            {
+                removed.insert(key.to_owned(), change.event["data"].clone());
+            }
+        }
+        for (key, value) in removed {
+            self.revision += 1;
+            self.put(key, value, None);
+        }
+    }
+
     fn count_change(&mut self, sign: char, key: &str) {
         let kind = key.split('/').next().unwrap_or(key);
         let made = self.changes_by_kind.entry(format!("{sign}{kind}"));
--- a/crates/simulator/src/state_service/mod.rs
+++ b/crates/simulator/src/state_service/mod.rs
@@ -7,6 +7,7 @@
 
 mod database;
 mod rate_limit;
+mod repeatable;
 
 use std::{
     collections::BTreeMap,
@@ -130,8 +131,8 @@
         });
     }
 
-    /// Returns descriptions of the copies of transactions that took effect although the transaction
-    /// had been carried out before.
+    /// Returns descriptions of the transactions of which a late copy could be carried out, and of the
+    /// copies that took effect.
     pub fn repeated_transactions(&self) -> Vec<String> {
         self.lock().repeated_transactions.clone()
     }
@@ -147,6 +148,13 @@
         self.lock().changes_by_kind.clone()
     }
 
+    /// Sets the removed keys with the prefix to their last values again, as late copies of the
+    /// transactions of a version without a guard against them do.
+    pub fn restore_removed(&self, prefix: &str) {
+        self.lock().restore_removed(prefix);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the number of keys with the prefix, for expectations of scenarios.
     pub fn count_keys(&self, prefix: &str) -> usize {
         let database = self.lock();
--- a/src/coordination/leader/fleet/inventory.rs
+++ b/src/coordination/leader/fleet/inventory.rs
@@ -123,7 +123,7 @@
             .set(key, &group);
         // Ignoring a failure is safe: machines without a record are found again by later polls.
         let _ = self
-            .commit_as_leader(transaction, RequestPriority::Background)
+            .commit_once_as_leader(transaction, RequestPriority::Background)
             .await;
     }
 }
--- a/src/coordination/leader/fleet/provisioning.rs
+++ b/src/coordination/leader/fleet/provisioning.rs
@@ -13,7 +13,7 @@
     coordination::{
         clients::{CloudError, ProvisionRequest},
         context::lock,
-        leader::{Leader, pool::ProvisionPlan},
+        leader::{Leader, commit::CHANGES_OF_COMMIT_ONCE, pool::ProvisionPlan},
     },
     storage::{
         MachineId, ProvisionId, Revision, Transaction, jitter, keys,
@@ -47,7 +47,8 @@
             .config
             .state_limits
             .txn_ops
-            .min(MAX_PROVISION_REQUESTS_PER_COMMIT);
+            .saturating_sub(CHANGES_OF_COMMIT_ONCE)
+            .clamp(1, MAX_PROVISION_REQUESTS_PER_COMMIT);
         for batch in plans.chunks(max_requests) {
             let mut transaction = Transaction::default();
             for plan in batch {
@@ -67,7 +68,7 @@
                     .set(key, &record);
             }
             let committed = self
-                .commit_as_leader(transaction, RequestPriority::Placement)
+                .commit_once_as_leader(transaction, RequestPriority::Placement)
                 .await;
             if committed.is_err() {
                 return;
@@ -132,14 +133,21 @@
             count: record.count,
         };
         let response = self.context.cloud.provision(name, &machine_request).await;
-        let revision = {
+        let (revision, is_recorded) = {
             let cache = self.context.store.cache();
-            match cache.provision_requests.get(name) {
-                Some(entry) => entry.revision,
-                None => return,
-            }
+            let Some(entry) = cache.provision_requests.get(name) else {
+                return;
+            };
+            (entry.revision, cache.machine_groups.contains_key(name))
         };
         match response {
+            // The request is removed when its machines are recorded. One that is there beside them
+            // was restored by a copy of the commit of an earlier version, which did not prevent
+            // that; it would count as machines on their way for good.
+            _ if is_recorded => {
+                tracing::info!(%name, "removing a provision request that was answered before");
+                self.finish_request(name, revision, None).await;
+            }
             Ok(machines) => self.record_provisioned(request, revision, machines).await,
             Err(CloudError::NoCapacity) => {
                 tracing::info!(%name, kind = %record.machine_type, zone = %record.zone,
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -13,6 +13,11 @@
 /// Seed `LATE_RESPONSES_FROM + n` generates the scenario of seed `n` with responses of the state
 /// service that arrive late, in any order.
 const LATE_RESPONSES_FROM: u64 = 2_000_000;
+/// Seed `COPIED_REQUESTS_FROM + n` generates the scenario of seed `n` with requests that arrive once
+/// more, late, after they were carried out.
+const COPIED_REQUESTS_FROM: u64 = 3_000_000;
+/// Copies of requests on all links for the whole time in which other faults happen.
+const COPIED_REQUESTS: &str = "at 5 copy requests share=0.3 late=40 for=150";
 /// Late responses for the whole time in which jobs are submitted and other faults happen.
 const LATE_RESPONSES: &str = "at 5 state delay-responses share=0.1 late=0.6 for=150";
 
@@ -47,7 +52,9 @@
     let mut rng = StdRng::seed_from_u64(seed % TRANSFERS_FROM);
     let mut lines = vec![format!("seed {seed}")];
     lines.extend(CLUSTER.map(str::to_owned));
-    if seed >= LATE_RESPONSES_FROM {
+    if seed >= COPIED_REQUESTS_FROM {
+        lines.push(COPIED_REQUESTS.into());
+    } else if seed >= LATE_RESPONSES_FROM {
         lines.push(LATE_RESPONSES.into());
     } else if seed >= TRANSFERS_FROM {
         lines.push("transfers".into());
@@ -321,6 +328,7 @@
     SEEDS
         .chain(in_variant(TRANSFERS_FROM, SEEDS))
         .chain(in_variant(LATE_RESPONSES_FROM, SEEDS))
+        .chain(in_variant(COPIED_REQUESTS_FROM, SEEDS))
         .collect()
 }
 
