Jobs at their team's limit do not count as routed

Cause: a routing pass searches free capacity for at most 96 jobs, in the queue's order, and counted a job before it found that its team's limit leaves nothing to search for. Each pass began with the same jobs, and nothing but that team could end it.

Evidence: the routing counts in the log, with the code before: `limited: 96, left: 27` to the end, `unplaced`, `covered` and `under_way` 0.

Change: jobs of which no further task fits within the team's limit are counted as limited without a search, and jobs whose waiting tasks are all offered are passed over; neither counts as routed.

Why this works: the bound limits searches; for these jobs there is none. What is left of their cost is a comparison with the limit, so that any number of them may be ahead in the queue.

--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -104,6 +104,15 @@
         let cache = self.cache;
         let mut routed_jobs = 0;
         for queued in self.queued_jobs(cache, &used) {
+            // Nothing is searched for these jobs, so that they do not count as routed: any number of
+            // them may be ahead of other teams' jobs for a long time.
+            if self.is_offered(&queued) {
+                continue;
+            }
+            if self.is_at_limit(&queued, &used) {
+                self.count_limited(&queued, &mut result);
+                continue;
+            }
             let requirements = PlacementRequirements::of(queued.spec);
             let may_preempt = self.may_preempt(queued.spec, &result);
             if self.unplaceable.contains(&requirements) && !may_preempt {
@@ -158,6 +167,33 @@
         self.add_unplaced(queued, (tasks - reclaimed) as u32, used, result);
     }
 
+    /// Whether all waiting tasks of the job have outstanding offers.
+    fn is_offered(&self, queued: &QueuedJob<'_>) -> bool {
+        let outstanding = self.outstanding_offers.get(queued.id);
+        queued.job.waiting() as usize <= outstanding.map_or(0, BTreeMap::len)
+    }
+
+    /// Whether not one more task of the job fits within its team's limit. Gangs are routed even
+    /// then, since a part of them that cannot be completed has to be stopped.
+    fn is_at_limit(&self, queued: &QueuedJob<'_>, used: &QuotaUsage) -> bool {
+        queued.spec.kind != JobKind::Gang && self.tasks_within_limit(queued.spec, used) == 0
+    }
+
+    /// Counts the tasks of a job whose team is at its limit, for which more machines would not
+    /// help. Tasks of its team may be preempted for them.
+    fn count_limited(&mut self, queued: &QueuedJob<'_>, result: &mut RoutingResult) {
+        let outstanding = self.outstanding_offers.get(queued.id);
+        let offered = outstanding.map_or(0, BTreeMap::len);
+        result.counts.limited += queued.job.waiting() as usize - offered;
+        let waiting = queued.job.waiting_tasks(offered + 1).into_iter();
+        let first = waiting
+            .filter(|task| outstanding.is_none_or(|tasks| !tasks.contains_key(task)))
+            .min();
+        if let Some(task) = first {
+            self.preempt_for_quota(queued, task, result);
+        }
+    }
+
     /// Returns how many more tasks of the job fit within its team's limit.
     fn tasks_within_limit(&self, spec: &JobSpec, used: &QuotaUsage) -> usize {
         let quota = Quota::from(&spec.per_task);
