Every waiting job has its turn to be routed, however many are tried in vain

What callers saw: while 96 or more jobs wait for which a routing pass finds no machine, jobs behind them in the queue never start, beside machines with room.

Cause: a pass searches free capacity for at most 96 jobs, always the first ones in the queue's order. Jobs of one size without constraints are told apart without a search; zone-bound jobs, gangs and jobs that lack quota at an owner are not.

Evidence: 120 spread services, whose second replicas need a zone without machines, ahead of a job of another team: it is still queued after 109 s, and so are the services numbered from 96 on, which could start (`waited`).

Change: `Turns` remembers which jobs were tried in vain. Half of a pass's searches is made in the queue's order, the other half by jobs that have not had their turn since everyone last had one.

Why this works: with n waiting jobs each is tried in one of n/48 passes, and the head of the queue in every pass, so that the order of the queue still decides who gets room that becomes free.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -58,6 +58,7 @@
             record_affinity: &mut state.record_affinity,
             gangs: &mut state.gangs,
             expired_offers: &mut state.expired_offers,
+            job_turns: &mut state.job_turns,
             failing: &failing,
             changes_per_transaction: self.context.config.state_limits.txn_ops,
             start_target: self.context.config.tuning.start_target,
--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -21,6 +21,7 @@
 mod requirements;
 mod result;
 mod state;
+mod turns;
 mod unplaced;
 mod zone_bound;
 
@@ -31,6 +32,7 @@
 pub use state::{
     ExpiredOffersByJob, OutstandingOffers, PartialGangs, PendingPreemptions, RecordAffinity,
 };
+pub use turns::Turns;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -75,6 +77,8 @@
     pub gangs: &'a mut PartialGangs,
     /// Owners that let offers expire, by job.
     pub expired_offers: &'a mut ExpiredOffersByJob,
+    /// The jobs' turns to be routed.
+    pub job_turns: &'a mut Turns<JobId>,
     /// Crash-looping jobs, each with the end of its backoff.
     pub failing: &'a BTreeMap<JobId, Instant>,
     /// Maximum number of changes per transaction, which determines the scope of zone constraints
@@ -102,7 +106,7 @@
         self.expire_offers(&mut used);
         self.prune_state();
         let cache = self.cache;
-        let mut routed_jobs = 0;
+        self.job_turns.begin_pass(MAX_ROUTED_JOBS_PER_PASS);
         for queued in self.queued_jobs(cache, &used) {
             // Nothing is searched for these jobs, so that they do not count as routed: any number of
             // them may be ahead of other teams' jobs for a long time.
@@ -120,10 +124,13 @@
                 // They are still counted, since machines are provisioned for the waiting tasks.
                 self.count_job_unplaced(&queued, &mut used, &mut result);
             } else if result.offered < MAX_OFFERED_TASKS_PER_PASS
-                && routed_jobs < MAX_ROUTED_JOBS_PER_PASS
+                && self.job_turns.may_try(queued.id)
             {
-                routed_jobs += 1;
+                let offered = result.offered;
                 self.route_job(&queued, &mut used, &mut result);
+                if result.offered == offered {
+                    self.job_turns.note_in_vain(queued.id.clone());
+                }
             } else {
                 result.counts.left += queued.job.waiting() as usize;
             }
--- a/src/coordination/leader/state.rs
+++ b/src/coordination/leader/state.rs
@@ -98,6 +98,8 @@
     pub(super) statuses: BTreeMap<ControllerName, PeerStatus>,
     /// Tasks offered to owners and not yet placed.
     pub(super) outstanding_offers: routing::OutstandingOffers,
+    /// The jobs' turns to be routed.
+    pub(super) job_turns: routing::Turns<JobId>,
     /// Waiting tasks for which others are being preempted, and the tasks being preempted.
     pub(super) pending_preemptions: routing::PendingPreemptions,
     /// Tasks of the lowest priority that are being stopped to free capacity.
@@ -317,6 +319,7 @@
     /// Clears the results of the last routing pass, since no task is waiting.
     pub(super) fn clear_routing(&mut self) {
         self.outstanding_offers.clear();
+        self.job_turns = routing::Turns::default();
         self.unplaced.clear();
         self.booting_when_routed.clear();
         self.routing_counts = Default::default();
