Replicas for which nothing can be preempted do not keep others from preempting

What callers saw: a replica of the highest priority waits beside array tasks that may be preempted for it, while 12 or more replicas of a team at its limit wait ahead of it.

Cause: a pass tries to preempt tasks for at most 12 replicas, always the first ones, and remembers only those for which it found some.

Evidence: 20 replicas of a team at its limit, which has no array tasks, ahead of a replica of another team: none of the array tasks is preempted, the replica has not started 14 s later.

Change: replicas have turns as jobs have (`Turns`): half of the tries in the queue's order, the other half for those that have not had theirs.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -59,6 +59,7 @@
             gangs: &mut state.gangs,
             expired_offers: &mut state.expired_offers,
             job_turns: &mut state.job_turns,
+            preemption_turns: &mut state.preemption_turns,
             failing: &failing,
             changes_per_transaction: self.context.config.state_limits.txn_ops,
             start_target: self.context.config.tuning.start_target,
--- a/src/coordination/leader/routing/mod.rs
+++ b/src/coordination/leader/routing/mod.rs
@@ -39,12 +39,13 @@
     time::{Duration, SystemTime},
 };
 
+use preemption::MAX_PREEMPTING_REPLICAS_PER_PASS;
 use queue_order::QueuedJob;
 use quota_use::{QuotaUsage, tasks_left};
 use state::{PREEMPTION_TIMEOUT, RECORD_AFFINITY_TIMEOUT};
 use tokio::time::Instant;
 
-use crate::storage::{ClassName, JobId, JobKind, JobSpec, Quota, StateCache, Team};
+use crate::storage::{ClassName, JobId, JobKind, JobSpec, Quota, StateCache, TaskId, Team};
 
 /// Maximum number of tasks offered in one pass, about as many as the owners commit before the
 /// next one.
@@ -79,6 +80,8 @@
     pub expired_offers: &'a mut ExpiredOffersByJob,
     /// The jobs' turns to be routed.
     pub job_turns: &'a mut Turns<JobId>,
+    /// The turns of the replicas for which tasks may be preempted.
+    pub preemption_turns: &'a mut Turns<TaskId>,
     /// Crash-looping jobs, each with the end of its backoff.
     pub failing: &'a BTreeMap<JobId, Instant>,
     /// Maximum number of changes per transaction, which determines the scope of zone constraints
@@ -107,6 +110,8 @@
         self.prune_state();
         let cache = self.cache;
         self.job_turns.begin_pass(MAX_ROUTED_JOBS_PER_PASS);
+        self.preemption_turns
+            .begin_pass(MAX_PREEMPTING_REPLICAS_PER_PASS);
         for queued in self.queued_jobs(cache, &used) {
             // Nothing is searched for these jobs, so that they do not count as routed: any number of
             // them may be ahead of other teams' jobs for a long time.
@@ -118,10 +123,11 @@
                 continue;
             }
             let requirements = PlacementRequirements::of(queued.spec);
-            let may_preempt = self.may_preempt(queued.spec, &result);
+            let may_preempt = self.may_preempt(queued.spec);
             if self.unplaceable.contains(&requirements) && !may_preempt {
                 // Tasks with the same requirements have found no free capacity in this pass.
                 // They are still counted, since machines are provisioned for the waiting tasks.
+                self.leave_out_preemption(&queued);
                 self.count_job_unplaced(&queued, &mut used, &mut result);
             } else if result.offered < MAX_OFFERED_TASKS_PER_PASS
                 && self.job_turns.may_try(queued.id)
@@ -192,15 +198,19 @@
         let outstanding = self.outstanding_offers.get(queued.id);
         let offered = outstanding.map_or(0, BTreeMap::len);
         result.counts.limited += queued.job.waiting() as usize - offered;
-        let waiting = queued.job.waiting_tasks(offered + 1).into_iter();
-        let first = waiting
-            .filter(|task| outstanding.is_none_or(|tasks| !tasks.contains_key(task)))
-            .min();
-        if let Some(task) = first {
+        if let Some(task) = self.first_task_to_route(queued) {
             self.preempt_for_quota(queued, task, result);
         }
     }
 
+    /// Returns the first of the job's waiting tasks without an outstanding offer.
+    fn first_task_to_route(&self, queued: &QueuedJob<'_>) -> Option<u32> {
+        let outstanding = self.outstanding_offers.get(queued.id);
+        let offered = outstanding.map_or(0, BTreeMap::len);
+        let mut waiting = queued.job.waiting_tasks(offered + 1).into_iter();
+        waiting.find(|task| outstanding.is_none_or(|tasks| !tasks.contains_key(task)))
+    }
+
     /// Returns how many more tasks of the job fit within its team's limit.
     fn tasks_within_limit(&self, spec: &JobSpec, used: &QuotaUsage) -> usize {
         let quota = Quota::from(&spec.per_task);
--- a/src/coordination/leader/routing/preemption.rs
+++ b/src/coordination/leader/routing/preemption.rs
@@ -9,7 +9,7 @@
 };
 
 /// Maximum number of replicas for which one pass tries to preempt tasks.
-const MAX_PREEMPTING_REPLICAS_PER_PASS: usize = 12;
+pub(super) const MAX_PREEMPTING_REPLICAS_PER_PASS: usize = 12;
 
 /// A task that may be preempted for another task.
 struct Victim<'a> {
@@ -65,12 +65,25 @@
     }
 }
 
+/// Whether tasks may be preempted for tasks of this job.
+fn preempts(spec: &JobSpec) -> bool {
+    spec.kind == JobKind::Service && spec.priority == Priority::Production
+}
+
 impl RoutingPass<'_> {
     /// Whether tasks may be preempted for a task of this job in this pass.
-    pub(super) fn may_preempt(&self, spec: &JobSpec, result: &RoutingResult) -> bool {
-        spec.kind == JobKind::Service
-            && spec.priority == Priority::Production
-            && result.preempting_replicas < MAX_PREEMPTING_REPLICAS_PER_PASS
+    pub(super) fn may_preempt(&self, spec: &JobSpec) -> bool {
+        preempts(spec) && self.preemption_turns.has_tries_left()
+    }
+
+    /// Notes that this pass does not try to preempt tasks for the job.
+    pub(super) fn leave_out_preemption(&mut self, queued: &QueuedJob<'_>) {
+        if preempts(queued.spec)
+            && let Some(task) = self.first_task_to_route(queued)
+        {
+            let key = TaskId::new(queued.id.clone(), task);
+            self.preemption_turns.leave_out(&key);
+        }
     }
 
     /// Whether a task of the job `other` may be preempted for a task of the job `spec`.
@@ -91,11 +104,14 @@
     ) {
         let QueuedJob { id, spec, .. } = queued;
         let key = TaskId::new((*id).clone(), task);
-        if self.pending_preemptions.contains_key(&key) || !self.may_preempt(spec, result) {
+        if self.pending_preemptions.contains_key(&key)
+            || !preempts(spec)
+            || !self.preemption_turns.may_try(&key)
+        {
             return;
         }
-        result.preempting_replicas += 1;
         let Some(victims) = self.victims_for_quota(spec) else {
+            self.preemption_turns.note_in_vain(key);
             return;
         };
         tracing::debug!(job = %id, task, team = %spec.team, victims = victims.len(),
@@ -151,11 +167,11 @@
         if self.pending_preemptions.contains_key(&key) {
             return true;
         }
-        if !self.may_preempt(spec, result) {
+        if !preempts(spec) || !self.preemption_turns.may_try(&key) {
             return false;
         }
-        result.preempting_replicas += 1;
         let Some(preemption) = self.cheapest_preemption(queued, task) else {
+            self.preemption_turns.note_in_vain(key);
             return false;
         };
         let victims = preemption.victims;
--- a/src/coordination/leader/routing/result.rs
+++ b/src/coordination/leader/routing/result.rs
@@ -75,8 +75,6 @@
     pub zone_assignments: Vec<ZoneAssignment>,
     /// Tasks that owners are to preempt.
     pub preempt: BTreeMap<ControllerName, Vec<TaskId>>,
-    /// Number of replicas for which preemption was tried.
-    pub(super) preempting_replicas: usize,
     /// Number of tasks of the lowest priority that are to be preempted.
     pub(super) reclaimed: usize,
     /// Number of tasks in the offers.
--- a/src/coordination/leader/routing/turns.rs
+++ b/src/coordination/leader/routing/turns.rs
@@ -43,6 +43,12 @@
         self.has_left_out = false;
     }
 
+    /// Whether this pass has tries left for those who have not had a turn.
+    #[must_use]
+    pub fn has_tries_left(&self) -> bool {
+        self.tries < self.max_tries
+    }
+
     /// Whether `key` may be tried now; counts a try if so. Must be called in the queue's order.
     pub fn may_try(&mut self, key: &K) -> bool {
         let had_turn = self.tried_in_vain.contains(key);
@@ -55,11 +61,16 @@
         if may_try {
             self.tries += 1;
         } else {
-            self.has_left_out |= !had_turn;
+            self.leave_out(key);
         }
         may_try
     }
 
+    /// Notes that this pass does not try `key`.
+    pub fn leave_out(&mut self, key: &K) {
+        self.has_left_out |= !self.tried_in_vain.contains(key);
+    }
+
     /// Notes that `key` was tried in vain.
     pub fn note_in_vain(&mut self, key: K) {
         self.tried_in_vain.insert(key);
--- a/src/coordination/leader/routing/turns/tests.rs
+++ b/src/coordination/leader/routing/turns/tests.rs
@@ -42,6 +42,7 @@
         turns.begin_pass(2);
         assert!(turns.may_try(&0));
         assert!(turns.may_try(&1));
+        assert!(!turns.has_tries_left());
         assert!(!turns.may_try(&2));
     }
 }
--- a/src/coordination/leader/state.rs
+++ b/src/coordination/leader/state.rs
@@ -19,8 +19,8 @@
 use crate::{
     coordination::clients::{IndirectHeartbeat, OwnedMachine, StatusMessage},
     storage::{
-        ControllerName, Incarnation, JobId, MachineId, Quota, ShardId, StateCache, TeamName,
-        client::LeaseId,
+        ControllerName, Incarnation, JobId, MachineId, Quota, ShardId, StateCache, TaskId,
+        TeamName, client::LeaseId,
     },
 };
 
@@ -100,6 +100,8 @@
     pub(super) outstanding_offers: routing::OutstandingOffers,
     /// The jobs' turns to be routed.
     pub(super) job_turns: routing::Turns<JobId>,
+    /// The turns of the replicas for which tasks may be preempted.
+    pub(super) preemption_turns: routing::Turns<TaskId>,
     /// Waiting tasks for which others are being preempted, and the tasks being preempted.
     pub(super) pending_preemptions: routing::PendingPreemptions,
     /// Tasks of the lowest priority that are being stopped to free capacity.
@@ -320,6 +322,7 @@
     pub(super) fn clear_routing(&mut self) {
         self.outstanding_offers.clear();
         self.job_turns = routing::Turns::default();
+        self.preemption_turns = routing::Turns::default();
         self.unplaced.clear();
         self.booting_when_routed.clear();
         self.routing_counts = Default::default();
