An owner probes all of its unresponsive machines in turn

What callers saw: while more than 48 machines of one owner hang, replicas on the others are missing for some seconds longer.

Cause: an owner probes up to 48 machines at a time, in the order of their names, and a machine is due again after a second. Probes of machines that don't answer take longer than that, so that each scan chose the same ones; the leader counts the others as reachable, and doesn't release them.

Change: those whose last probe was longest ago come first. Probes have a module of their own.

--- a/src/coordination/owner/mod.rs
+++ b/src/coordination/owner/mod.rs
@@ -14,6 +14,7 @@
 mod offered_jobs;
 mod placement;
 mod planned_changes;
+mod probes;
 mod record_writes;
 mod results;
 mod round;
