--- a/src/coordination/agent_state.rs
+++ b/src/coordination/agent_state.rs
@@ -4,6 +4,7 @@
 //! The shard owner keeps one `AgentState` for each of its machines and applies every message
 //! of the agent to it. It drops the state when the machine moves to another owner.
 
+mod command_path;
 mod image_cache;
 mod machine_failures;
 mod repeatable_starts;
@@ -14,6 +15,7 @@
     time::Duration,
 };
 
+use command_path::CommandPath;
 use image_cache::ImageCache;
 pub use machine_failures::{FAILURE_WINDOW, MachineFailures};
 pub use repeatable_starts::HeldClears;
@@ -57,14 +59,6 @@
     pub since: Instant,
 }
 
-/// A fencing token that was sent to the agent, and that no message from the agent has reported
-/// yet.
-#[derive(Clone, Copy, Debug)]
-struct UnconfirmedToken {
-    token: FencingToken,
-    since: Instant,
-}
-
 /// What an owner knows about one agent.
 #[derive(Debug)]
 pub struct AgentState {
@@ -113,20 +107,10 @@
     pub stops_sent: BTreeMap<TaskId, Instant>,
     /// Speed of the machine, learned from run times; at 1 tasks take the expected time.
     pub speed: f64,
-    /// The oldest response whose fencing token the agent has not reported since.
-    unconfirmed_token: Option<UnconfirmedToken>,
-    /// Until when the last response to a heartbeat should keep the agent's lease from
-    /// expiring. If the lease expires before this time, the response has not renewed it.
-    renewal_expected_until: Option<Instant>,
-    /// When the agent's lease last turned out to have expired although its heartbeats were
-    /// answered.
-    lease_lost_at: Option<Instant>,
+    /// Whether the owner's responses reach the agent.
+    command_path: CommandPath,
 }
 
-/// How long the command path counts as lost after the agent's lease expired although its
-/// heartbeats were answered.
-const LEASE_LOSS_WINDOW: Duration = Duration::from_secs(90);
-
 impl AgentState {
     /// Creates the state of an agent that has sent no message yet, on a machine that was acquired
     /// with this token.
@@ -150,9 +134,7 @@
             held_clears: None,
             unconfirmed_starts: BTreeSet::new(),
             images: ImageCache::default(),
-            unconfirmed_token: None,
-            renewal_expected_until: None,
-            lease_lost_at: None,
+            command_path: CommandPath::default(),
             failures: MachineFailures::default(),
             stops_sent: BTreeMap::new(),
             speed: 1.0,
@@ -183,7 +165,8 @@
         }
         self.epoch = heartbeat.epoch;
         self.sequence = heartbeat.sequence;
-        self.confirm_token(heartbeat.token);
+        self.token = self.token.max(heartbeat.token);
+        self.command_path.confirm(self.token);
         self.repeatable_starts
             .remove_rejected(self.token, self.epoch);
         if self.address.as_ref() != Some(&heartbeat.address) {
@@ -209,20 +192,8 @@
     fn end_epoch(&mut self, now: Instant) {
         self.tasks.clear();
         self.stops_sent.clear();
-        // The lease expired although a heartbeat was answered recently: the responses do not
-        // reach the agent.
-        if self.epoch.0 > 0 && self.renewal_expected_until.is_some_and(|until| now < until) {
-            self.lease_lost_at = Some(now);
-        }
-    }
-
-    fn confirm_token(&mut self, token: FencingToken) {
-        self.token = self.token.max(token);
-        if self
-            .unconfirmed_token
-            .is_some_and(|unconfirmed| self.token >= unconfirmed.token)
-        {
-            self.unconfirmed_token = None;
+        if self.epoch.0 > 0 {
+            self.command_path.note_lease_expired(now);
         }
     }
 
@@ -302,23 +273,16 @@
     /// longest pause between two heartbeats of an agent, which is far shorter than the
     /// agents' lease.
     pub fn note_response(&mut self, token: FencingToken, max_interval: Duration, now: Instant) {
-        self.renewal_expected_until = Some(now + max_interval);
-        if self.token < token {
-            self.unconfirmed_token
-                .get_or_insert(UnconfirmedToken { token, since: now });
-        }
+        let reported = self.token;
+        self.command_path
+            .note_response(token, reported, max_interval, now);
     }
 
     /// Whether the agent's heartbeats arrive but the responses to them do not reach it. This
     /// is so if the agent does not report a fencing token that was sent more than `timeout`
-    /// ago, or if its lease expired recently although its heartbeats were answered. Such an
-    /// agent looks alive, but its tasks end when its lease expires.
+    /// ago, or if its lease expired recently although its heartbeats were answered.
     pub fn is_command_path_lost(&self, timeout: Duration, now: Instant) -> bool {
-        self.unconfirmed_token
-            .is_some_and(|unconfirmed| now.duration_since(unconfirmed.since) > timeout)
-            || self
-                .lease_lost_at
-                .is_some_and(|at| now.duration_since(at) < LEASE_LOSS_WINDOW)
+        self.command_path.is_lost(timeout, now)
     }
 
     /// Notes that direct starts are sent in one request, under this token and for this epoch.
