--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -14,7 +14,7 @@
 /// service that arrive late, in any order.
 const LATE_RESPONSES_FROM: u64 = 2_000_000;
 /// Seed `COPIED_REQUESTS_FROM + n` generates the scenario of seed `n` with requests that arrive once
-/// more, late, after they were carried out.
+/// more, late, after they were carried out; if `n` is odd, with quota transfers on.
 const COPIED_REQUESTS_FROM: u64 = 3_000_000;
 /// Copies of requests on all links for the whole time in which other faults happen.
 const COPIED_REQUESTS: &str = "at 5 copy requests share=0.3 late=40 for=150";
@@ -54,6 +54,9 @@
     lines.extend(CLUSTER.map(str::to_owned));
     if seed >= COPIED_REQUESTS_FROM {
         lines.push(COPIED_REQUESTS.into());
+        if seed % 2 == 1 {
+            lines.push("transfers".into());
+        }
     } else if seed >= LATE_RESPONSES_FROM {
         lines.push(LATE_RESPONSES.into());
     } else if seed >= TRANSFERS_FROM {
