--- a/src/coordination/leader/fleet/autoscaler.rs
+++ b/src/coordination/leader/fleet/autoscaler.rs
@@ -11,8 +11,11 @@
 
 use tokio::time::Instant;
 
-use super::provisioning_options::{
-    JobDemand, ProvisioningOptions, booting_candidates, requested_candidates, used_machines,
+use super::{
+    FleetState,
+    provisioning_options::{
+        JobDemand, ProvisioningOptions, booting_candidates, requested_candidates, used_machines,
+    },
 };
 use crate::{
     coordination::{
@@ -59,12 +62,7 @@
     ) -> Vec<ProvisionPlan> {
         let tuning = &self.context.config.tuning;
         let now_ms = self.context.config.now_ms();
-        let up: BTreeSet<MachineId> = cache
-            .machines
-            .keys()
-            .filter(|id| state.is_up(cache, id))
-            .cloned()
-            .collect();
+        let up = machines_up(cache, state);
         let LeaderState {
             fleet,
             miss_rate,
@@ -84,24 +82,22 @@
         let was_up_when_routed =
             |id: &MachineId| up.contains(id) && !booting_when_routed.contains(id);
         let need = machine_need(&options, unplaced, now_ms, was_up_when_routed);
-        let is_round_due = fleet
-            .last_band_evaluation
-            .or(*elected_at)
-            .is_none_or(|at| now.duration_since(at) >= tuning.evaluation_interval);
-        let is_remedial_due = fleet
-            .last_remedial_evaluation
-            .is_none_or(|at| now.duration_since(at) >= REMEDIAL_INTERVAL);
-        let mut wanted_machines: Vec<WantedMachines> = Vec::new();
-        if is_round_due {
-            fleet.last_band_evaluation = Some(now);
-            let machines = used_machines(cache, tuning.paid_periods, now_ms, |id| up.contains(id));
-            wanted_machines = self.evaluate_band(&options, fleet, miss_rate, &need, machines);
-            tracing::info!(?routing_counts, "waiting tasks");
-        } else if is_remedial_due {
-            fleet.last_remedial_evaluation = Some(now);
-            let unfilled = std::mem::take(&mut fleet.unfilled_machines);
-            wanted_machines = evaluate_remedial(&options, need, unfilled, tuning);
-        }
+        let wanted_machines = match due_evaluation(fleet, *elected_at, tuning, now) {
+            Some(Evaluation::Band) => {
+                fleet.last_band_evaluation = Some(now);
+                let machines =
+                    used_machines(cache, tuning.paid_periods, now_ms, |id| up.contains(id));
+                let wanted = self.evaluate_band(&options, fleet, miss_rate, &need, machines);
+                tracing::info!(?routing_counts, "waiting tasks");
+                wanted
+            }
+            Some(Evaluation::RemedialRule) => {
+                fleet.last_remedial_evaluation = Some(now);
+                let unfilled = std::mem::take(&mut fleet.unfilled_machines);
+                evaluate_remedial(&options, need, unfilled, tuning)
+            }
+            None => Vec::new(),
+        };
         if !wanted_machines.is_empty() {
             fleet.draining_machines.clear();
         }
@@ -109,6 +105,43 @@
     }
 }
 
+/// Returns the machines that have come up.
+fn machines_up(cache: &StateCache, state: &LeaderState) -> BTreeSet<MachineId> {
+    let machines = cache.machines.keys();
+    machines
+        .filter(|id| state.is_up(cache, id))
+        .cloned()
+        .collect()
+}
+
+/// One of the two rules by which machines are provisioned.
+enum Evaluation {
+    /// A round of the miss-rate band, which also drains machines.
+    Band,
+    /// The remedial rule.
+    RemedialRule,
+}
+
+/// Returns the rule that is due, the band first.
+fn due_evaluation(
+    fleet: &FleetState,
+    elected_at: Option<Instant>,
+    tuning: &Tuning,
+    now: Instant,
+) -> Option<Evaluation> {
+    let is_due = |last: Option<Instant>, interval: Duration| {
+        last.is_none_or(|at| now.duration_since(at) >= interval)
+    };
+    let last_round = fleet.last_band_evaluation.or(elected_at);
+    if is_due(last_round, tuning.evaluation_interval) {
+        Some(Evaluation::Band)
+    } else if is_due(fleet.last_remedial_evaluation, REMEDIAL_INTERVAL) {
+        Some(Evaluation::RemedialRule)
+    } else {
+        None
+    }
+}
+
 /// Adds the tasks that have started, ended or waited for capacity since the last pass to the
 /// miss-rate window.
 fn observe_miss_rate(
